Open a door for operators with READY, STATS and figures

Design: package yewyoke.ops holds the figures (one writer, any reader) and the door, which has an event loop of its own, a few reserved descriptors, and drops the oldest call when one too many comes. Each figure is counted at the one place where the thing happens: taken and concluded in the driver, the last byte of an attempt in the upstream side. skipped_upstreams is a read-only query of the module. Rejected: answering on the clients' loop, which would be simpler, but a jam there would delay the answer.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -4,10 +4,12 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 
@@ -76,6 +78,7 @@
     private final Map<String, Up> byId = new LinkedHashMap<>();
     private final Map<Integer, Up> byHash = new HashMap<>();
     private final List<Up> ups = new ArrayList<>();
+    private final Set<String> drains = new HashSet<>(); // listed, but of no use any more
     private final Map<String, Req> open = new HashMap<>();
     private final PriorityQueue<Req> byDeadline = new PriorityQueue<>(
             Comparator.<Req>comparingLong(r -> r.deadline).thenComparingLong(r -> r.number));
@@ -202,6 +205,9 @@
         if (kind != ListKind.CHANGES) {
             byId.keySet().retainAll(entries.stream().map(Upstream::id).toList());
         }
+        if (kind != ListKind.CHANGES) {
+            drains.clear();
+        }
         entries.forEach(e -> apply(now, e));
         byId.values().removeIf(u -> u.entry.state() != State.READY);
         ups.clear();
@@ -213,6 +219,11 @@
         pump(now);
     }
 
+    @Override public int skipped(long now) {
+        long ejected = panic(now) ? 0 : ups.stream().filter(u -> u.ejectedUntil > now).count();
+        return drains.size() + (int) ejected;
+    }
+
     /** A new process starts afresh: what the old one held and what was known of it say nothing now. */
     private void apply(long now, Upstream e) {
         Up up = byId.get(e.id());
@@ -228,6 +239,10 @@
             byId.put(e.id(), up);
         }
         up.entry = e;
+        drains.remove(e.id());
+        if (e.state() == State.DRAINING) {
+            drains.add(e.id());
+        }
     }
 
     // ---- Reweighting ---------------------------------------------------------------------------------
--- a/src/main/java/yewyoke/Balancer.java
+++ b/src/main/java/yewyoke/Balancer.java
@@ -40,6 +40,12 @@
     /** A message from another balancer of the tier. */
     void peerMessage(long now, int from, byte[] body);
 
+    /**
+     * How many of the listed upstreams get nothing at present: they drain, or are ejected and not let back in
+     * for want of others. Only looks; no event.
+     */
+    int skipped(long now);
+
     /** Where the decisions go. Every call takes effect at the time of the event being handled. */
     interface Actions {
         /** Starts an attempt; {@code timeout} 0 lets it run until the client gives up. */
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -67,8 +67,8 @@
     private final Set<Session> idle = new LinkedHashSet<>();
     private final Set<Session> unread = new LinkedHashSet<>();
     private final Promise<Void> drained;
-    private Channel listening;
-    private boolean stopping;
+    private volatile Channel listening;
+    private volatile boolean stopping;
     private boolean leaving;
 
     ClientServer(EventLoop loop, Driver driver, SettingsReader.Found facts, int maxConnections) {
@@ -110,6 +110,13 @@
                 }, session);
     }
 
+    /** Why no new client should come here, an empty text if nothing stands against it; any thread may ask. */
+    String whyNotReady() {
+        Channel channel = listening;
+        return stopping ? "stopping" : channel == null || !channel.isActive() ? "not listening yet"
+                : !driver.ready() ? "no list of upstreams yet" : "";
+    }
+
     SocketAddress address() {
         return listening.localAddress();
     }
@@ -274,7 +281,7 @@
                 // Throws on escapes that can't be decoded; from here that still ends in an answer.
                 if (uri.path().equals("/healthz")) {
                     message.release();
-                    boolean ready = driver.ready() && !stopping;
+                    boolean ready = whyNotReady().isEmpty();
                     closing = true; // asked seldom: not worth a connection kept
                     answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                             Unpooled.EMPTY_BUFFER, 0);
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -12,9 +12,12 @@
 import yewyoke.adapter.BadInput;
 import yewyoke.adapter.SettingsReader;
 
-/** What this balancer is told at its start: addresses, limits, the list as last held, and the settings. */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        ServerList known, SettingsReader.Found facts) {
+/**
+ * What this balancer is told at its start: addresses, limits, the list as last held, and the settings.
+ * {@code ops} is null where operators have no door.
+ */
+record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, long seed,
+        int sockets, ServerList known, SettingsReader.Found facts) {
     static final JsonFactory JSON = new JsonFactory();
     private static final int DEFAULT_SOCKETS = 1024;
 
@@ -27,6 +30,7 @@
     private static Config read(JsonParser json) throws BadInput, IOException {
         InetSocketAddress listen = null;
         InetSocketAddress discovery = null;
+        InetSocketAddress ops = null;
         long seed = 0;
         int sockets = DEFAULT_SOCKETS;
         ServerList known = ServerList.EMPTY;
@@ -40,6 +44,7 @@
             switch (name) {
                 case "listen" -> listen = address(json.getText());
                 case "discovery" -> discovery = address(json.getText());
+                case "ops" -> ops = value == JsonToken.VALUE_NULL ? null : address(json.getText());
                 case "seed" -> seed = seed(json.getText());
                 case "limits" -> sockets = sockets(json, sockets);
                 case "known" -> known = value == JsonToken.START_OBJECT ? ServerList.read(json) : known;
@@ -50,7 +55,7 @@
         ServerList.require(listen != null, "listen");
         ServerList.require(discovery != null, "discovery");
         ServerList.require(facts != null, "settings");
-        return new Config(listen, discovery, seed, sockets, known, facts);
+        return new Config(listen, discovery, ops, seed, sockets, known, facts);
     }
 
     private static int sockets(JsonParser json, int otherwise) throws IOException {
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -30,6 +30,8 @@
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.Request;
 import yewyoke.adapter.SettingsReader;
+import yewyoke.ops.Figures;
+import yewyoke.ops.Figures.Ending;
 
 /**
  * Owns the decision module and does for it on sockets what the simulator did: clock, timers, attempts and
@@ -42,12 +44,15 @@
     private static final long PROBE_TIMEOUT_MS = 500;
     /** How long to wait for a list from discovery before serving from the one held before the start. */
     private static final long TRUST_KNOWN_MS = 1_000;
+    /** How often operators get to see another number of upstreams. */
+    private static final long FLEET_MS = 100;
 
     private final EventLoop loop;
     private final SettingsReader.Found facts;
     private final Limits limits;
     private final String host;
     private final Upstreams upstreams;
+    private final Figures figures;
     private final Balancer balancer;
     private final Map<String, Open> open = new HashMap<>();
     private final Deque<Runnable> events = new ArrayDeque<>();
@@ -55,15 +60,17 @@
     private final long origin = System.nanoTime();
     private Discovery discovery;
     private boolean inEvent;
-    private boolean ready;
+    private volatile boolean ready;
     private boolean badReportLogged;
 
-    Driver(EventLoop loop, Config config, Upstreams upstreams) {
+    Driver(EventLoop loop, Config config, Upstreams upstreams, Figures figures) {
         this.loop = loop;
         this.facts = config.facts();
         this.limits = facts.settings().limits();
         this.host = config.listen().getHostString();
         this.upstreams = upstreams;
+        this.figures = figures;
+        facts.classes().forEach(figures::show);
         this.balancer = new Balance(facts.settings(), config.seed(), this);
     }
 
@@ -116,6 +123,8 @@
     /** Brings up the module with the list as last held, and begins to follow discovery. */
     void start(Discovery source, ServerList known) {
         discovery = source;
+        loop.scheduleWithFixedDelay(() -> figures.fleet(upstreams.listed(), balancer.skipped(now())), 0,
+                FLEET_MS, TimeUnit.MILLISECONDS);
         event(() -> balancer.start(now()));
         list(ListKind.RESTORED, known);
         if (!facts.settings().askForList()) {
@@ -128,7 +137,7 @@
         }
     }
 
-    /** Whether there are upstreams to serve from. */
+    /** Whether there are upstreams to serve from; any thread may ask. */
     boolean ready() {
         return ready;
     }
@@ -183,12 +192,14 @@
 
     /** Takes a request and its message; exactly one answer follows unless the client leaves first. */
     void request(Request request, FullHttpRequest message, Client client) {
+        figures.taken();
+        Open o = new Open(request, message, client, now());
         if (limits.maxOpen() > 0 && open.size() >= limits.maxOpen()) {
             message.release();
+            count(o, Ending.DROPPED);
             client.refused(0);
             return;
         }
-        Open o = new Open(request, message, client, now());
         open.put(request.id(), o);
         o.atDeadline = loop.schedule(() -> overdue(o), request.timeLeft(), TimeUnit.MICROSECONDS);
         event(() -> balancer.request(now(), request));
@@ -198,7 +209,7 @@
     void gone(String id) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
-            conclude(o);
+            conclude(o, null);
             event(() -> balancer.clientGone(now(), id));
         }
     }
@@ -210,7 +221,7 @@
         }
         event(() -> {
             if (!o.concluded) {
-                conclude(o);
+                conclude(o, Ending.BAD_GATEWAY);
                 o.client.failed();
                 balancer.clientGone(now(), o.request.id());
             }
@@ -225,11 +236,21 @@
         }
     }
 
-    private void conclude(Open o) {
+    /** The end of a request, as far as its client is concerned; {@code how} is null if that one has left. */
+    private void conclude(Open o, Ending how) {
         o.concluded = true;
+        count(o, how);
         forgetIfDone(o);
     }
 
+    private void count(Open o, Ending how) {
+        if (how == null) {
+            figures.abandoned();
+        } else {
+            figures.ended(facts.classes().get(o.request.classIndex()), how);
+        }
+    }
+
     private void forgetIfDone(Open o) {
         if (o.concluded && !o.outstanding() && open.remove(o.request.id(), o)) {
             o.atDeadline.cancel(false);
@@ -259,7 +280,15 @@
         o.attempts.add(attempt);
         long left = timeout == 0 ? o.deadline - now : Math.max(0, Math.min(timeout, o.deadline - now));
         attempt.exchange = upstreams.start(upstream, forward(o.message, left),
-                (outcome, answer) -> ended(o, number, outcome, answer));
+                new Upstreams.Listener() {
+                    @Override public void ended(Outcome outcome, FullHttpResponse answer) {
+                        Driver.this.ended(o, number, outcome, answer);
+                    }
+
+                    @Override public void written() {
+                        figures.tried();
+                    }
+                });
         if (now + left < o.deadline) {
             attempt.timeout = loop.schedule(() -> giveUp(o, number, Outcome.TIMEOUT), left,
                     TimeUnit.MICROSECONDS);
@@ -287,7 +316,7 @@
             attempt.timeout.cancel(false);
         }
         if (outcome == Outcome.OK && !o.concluded) {
-            o.concluded = true;
+            conclude(o, Ending.PASSED);
             o.client.served(answer.content().retain());
         }
         LoadReport load = answer == null ? null : load(answer.headers().get("X-Backend-Load"));
@@ -309,7 +338,7 @@
     @Override public void refuse(String id, long retryAfter) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
-            conclude(o);
+            conclude(o, Ending.DROPPED);
             o.client.refused(retryAfter);
         }
     }
@@ -317,7 +346,7 @@
     @Override public void fail(String id) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
-            conclude(o);
+            conclude(o, Ending.BAD_GATEWAY);
             o.client.failed();
         }
     }
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -14,12 +14,18 @@
 import java.util.function.Consumer;
 import yewyoke.Balancer;
 import yewyoke.adapter.Adapter;
+import yewyoke.adapter.BadInput;
+import yewyoke.ops.Door;
+import yewyoke.ops.Figures;
 
 /** Command line: {@code serve} runs one balancer on sockets, {@code adapter} the module on the simulator. */
 public final class Main {
     private static final System.Logger LOG = System.getLogger(Main.class.getName());
-    /** Descriptors for the JVM (jars, selector, log: 21), discovery, and clients accepted in one go (16). */
-    private static final int OWN_DESCRIPTORS = 40;
+    /**
+     * Descriptors for the JVM (jars, selectors, log: 23), discovery, clients accepted in one go (16), and the
+     * operators' door with its calls.
+     */
+    private static final int OWN_DESCRIPTORS = 43 + Door.MOST_CALLS;
     /** Of the rest clients get this part at most; upstreams have the others. */
     private static final double CLIENT_PART = 0.6;
 
@@ -64,9 +70,18 @@
             EventLoop loop = group.next();
             AtomicReference<Node> node = new AtomicReference<>();
             // First of all: unhandled, the signal ends the JVM. A node not up yet reads the new file anyway.
-            onHangUp(() -> loop.execute(() -> reload(file, node.get())));
-            Rehearsal.run(Config.read(file), REHEARSED, REHEARSAL_MS);
-            serve(file, loop, node::set);
+            Figures figures = new Figures();
+            onHangUp(() -> loop.execute(() -> reload(file, node.get(), figures)));
+            Config first = Config.read(file);
+            InetSocketAddress ops = door(first, System.getenv("NODE_OPS"));
+            if (ops != null) {
+                new Door(ops, figures, () -> {
+                    Node up = node.get();
+                    return up == null ? "starting" : up.server().whyNotReady();
+                });
+            }
+            Rehearsal.run(first, REHEARSED, REHEARSAL_MS);
+            serve(file, loop, figures, node::set);
             err.println("serving");
             // On SIGTERM the JVM waits for this hook while the event loop goes on.
             Runtime.getRuntime().addShutdownHook(
@@ -83,6 +98,12 @@
         }
     }
 
+    /** Where operators call: as configured, else as the environment has it; null for nowhere. */
+    static InetSocketAddress door(Config config, String otherwise) throws BadInput {
+        return config.ops() != null || otherwise == null || otherwise.isEmpty() ? config.ops()
+                : Config.address(otherwise);
+    }
+
     private static String firstLine(Exception e) {
         return e.toString().lines().findFirst().orElse("");
     }
@@ -110,7 +131,7 @@
     }
 
     /** Starts a balancer. All of it lives on the one event loop; {@code up} is told before it listens. */
-    static Node serve(Path file, EventLoop loop, Consumer<Node> up) throws Exception {
+    static Node serve(Path file, EventLoop loop, Figures figures, Consumer<Node> up) throws Exception {
         Callable<Node> start = () -> {
             Config config = Config.read(file);
             int descriptors = Math.max(0, config.sockets() - OWN_DESCRIPTORS);
@@ -118,7 +139,7 @@
             var settings = config.facts().settings();
             Upstreams upstreams = new Upstreams(loop, settings.limits().connectTimeout(),
                     settings.limits().connectIdle(), Math.max(1, descriptors - forClients));
-            Driver driver = new Driver(loop, config, upstreams);
+            Driver driver = new Driver(loop, config, upstreams, figures);
             Discovery discovery = new Discovery(loop, config.discovery(), settings.askForList(),
                     config.known().version(), driver);
             driver.start(discovery, config.known());
@@ -135,13 +156,15 @@
     }
 
     /** Reads the configuration again: discovery may have moved. A file that can't be read changes nothing. */
-    static void reload(Path file, Node node) {
+    static void reload(Path file, Node node, Figures figures) {
         if (node == null) {
             return; // not up yet, and reads the file after this
         }
         try {
             node.discovery().move(Config.read(file).discovery());
+            figures.loaded(true);
         } catch (Exception e) {
+            figures.loaded(false);
             LOG.log(System.Logger.Level.WARNING, "kept the old configuration: " + firstLine(e));
         }
     }
--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -13,6 +13,7 @@
 import yewyoke.Balancer.ListKind;
 import yewyoke.Balancer.RequestClass;
 import yewyoke.Balancer.State;
+import yewyoke.ops.Figures;
 
 /**
  * Serves requests to itself before the balancer is ready, in memory and through all its parts. Code that has
@@ -37,7 +38,7 @@
         var limits = config.facts().settings().limits();
         this.upstreams = new Upstreams(stage.eventLoop(), limits.connectTimeout(), Long.MAX_VALUE / 1_000,
                 UPSTREAMS);
-        Driver driver = new Driver(stage.eventLoop(), config, upstreams);
+        Driver driver = new Driver(stage.eventLoop(), config, upstreams, new Figures());
         this.server = new ClientServer(stage.eventLoop(), driver, config.facts(), UPSTREAMS);
         List<ServerList.Entry> entries = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -80,6 +80,9 @@
     /** Gets the end of an exchange, exactly once; the answer, if any, is released after the call. */
     interface Listener {
         void ended(Outcome outcome, FullHttpResponse answer);
+
+        /** The last byte of the request was written. */
+        default void written() { }
     }
 
     /** One upstream: where it is, and its idle connections, the last used first. */
@@ -115,6 +118,11 @@
         }
     }
 
+    /** How many upstreams the list has. */
+    int listed() {
+        return servers.size();
+    }
+
     private void forget(String id) {
         Server server = servers.remove(id);
         if (server != null) {
@@ -229,7 +237,9 @@
             request = null;
             channel.writeAndFlush(message).addListener(f -> {
                 written = f.isSuccess();
-                if (!written) {
+                if (written) {
+                    listener.written();
+                } else {
                     broken();
                 }
             });
--- /dev/null
+++ b/src/main/java/yewyoke/ops/Figures.java
@@ -0,0 +1,87 @@
+package yewyoke.ops;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/**
+ * What this process has done since its start. One thread writes, any thread reads; a reader may see a request
+ * in one figure a moment before it sees it in another.
+ */
+public final class Figures {
+    /** How a request ended, as its client sees it; the names are those that operators read. */
+    public enum Ending { PASSED, DROPPED, BAD_GATEWAY }
+
+    private static final String PREFIX = "app.";
+    private static final Ending[] ENDINGS = Ending.values();
+
+    /** By name and never by place: a class that new settings drop keeps its figures. */
+    private final Map<String, AtomicLongArray> handled = new ConcurrentSkipListMap<>();
+    private final AtomicLong inProgress = new AtomicLong();
+    private final AtomicLong tries = new AtomicLong();
+    private final AtomicLong loads = new AtomicLong();
+    private final AtomicLong loadErrors = new AtomicLong();
+    private volatile int known;
+    private volatile int skipped;
+
+    /** Shows a class from now on, with zeros until something of it has ended. */
+    public void show(String requestClass) {
+        handled.computeIfAbsent(requestClass, c -> new AtomicLongArray(ENDINGS.length));
+    }
+
+    /** A request was taken. */
+    public void taken() {
+        inProgress.incrementAndGet();
+    }
+
+    /** A request that was taken has its final answer. */
+    public void ended(String requestClass, Ending how) {
+        show(requestClass);
+        handled.get(requestClass).incrementAndGet(how.ordinal());
+        inProgress.decrementAndGet();
+    }
+
+    /** The client of a request that was taken has left without an answer. */
+    public void abandoned() {
+        inProgress.decrementAndGet();
+    }
+
+    /** The last byte of an attempt was written to an upstream. */
+    public void tried() {
+        tries.incrementAndGet();
+    }
+
+    /** How many upstreams the list has, and how many of them get nothing at present. */
+    public void fleet(int listed, int avoided) {
+        known = listed;
+        skipped = avoided;
+    }
+
+    /** A new configuration was taken, or turned down. */
+    public void loaded(boolean taken) {
+        (taken ? loads : loadErrors).incrementAndGet();
+    }
+
+    /** All figures, one a line. */
+    public String text() {
+        StringBuilder out = new StringBuilder();
+        handled.forEach((name, counts) -> {
+            for (Ending how : ENDINGS) {
+                String figure = "handled." + name + "." + how.name().toLowerCase(java.util.Locale.ROOT);
+                line(out, figure, counts.get(how.ordinal()), 'c');
+            }
+        });
+        line(out, "upstream_tries", tries.get(), 'c');
+        line(out, "in_progress", inProgress.get(), 'g');
+        line(out, "known_upstreams", known, 'g');
+        line(out, "skipped_upstreams", skipped, 'g');
+        line(out, "loads", loads.get(), 'c');
+        line(out, "load_errors", loadErrors.get(), 'c');
+        return out.toString();
+    }
+
+    private static void line(StringBuilder out, String name, long value, char type) {
+        out.append(PREFIX).append(name).append(':').append(value).append('|').append(type).append('\n');
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/ops/DoorTest.java
@@ -0,0 +1,119 @@
+package yewyoke.ops;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.ops.Figures.Ending;
+
+/** The operators' door: what is asked is answered, and what can't be asked costs nothing. */
+class DoorTest {
+    private static final int PATIENCE_MS = 20_000;
+    private final Figures figures = new Figures();
+    private final List<Socket> sockets = new ArrayList<>();
+    private volatile String whyNot = "";
+    private Door door;
+
+    @BeforeEach
+    void open() throws IOException {
+        door = new Door(new InetSocketAddress("127.0.0.1", 0), figures, () -> whyNot);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Socket s : sockets) {
+            s.close();
+        }
+        door.close();
+    }
+
+    private Socket call(String text) throws IOException {
+        Socket socket = new Socket();
+        sockets.add(socket);
+        socket.connect(door.address());
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    /** All lines up to the end of the connection. */
+    private static List<String> lines(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                .lines().toList();
+    }
+
+    @Test
+    void readinessIsToldAsItIs() throws IOException {
+        assertEquals(List.of("SUCCESS ready"), lines(call("READY\n")));
+        whyNot = "no list yet";
+        assertEquals(List.of("FAILURE no list yet"), lines(call("READY\r\n")));
+    }
+
+    @Test
+    void figuresAreToldOneALineAndEnd() throws IOException {
+        figures.show("look");
+        figures.taken();
+        figures.taken();
+        figures.taken();
+        figures.tried();
+        figures.ended("submit", Ending.PASSED);
+        figures.abandoned();
+        figures.fleet(12, 2);
+        figures.loaded(true);
+        figures.loaded(false);
+        assertEquals(List.of("SUCCESS", "app.handled.look.passed:0|c", "app.handled.look.dropped:0|c",
+                "app.handled.look.bad_gateway:0|c", "app.handled.submit.passed:1|c",
+                "app.handled.submit.dropped:0|c", "app.handled.submit.bad_gateway:0|c",
+                "app.upstream_tries:1|c", "app.in_progress:1|g", "app.known_upstreams:12|g",
+                "app.skipped_upstreams:2|g", "app.loads:1|c", "app.load_errors:1|c", "EOT"),
+                lines(call("STATS\n")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"STOP\n", "\n", "READY now\n", "\u0000\u0001\u00ff", "GET / HTTP/1.1\r\n\r\n",
+        "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"})
+    void whatIsNoCallGetsOneLineAndAClose(String text) throws IOException {
+        List<String> answer = lines(call(text));
+        assertEquals(1, answer.size(), answer.toString());
+        assertTrue(answer.get(0).startsWith("FAILURE "), answer.toString());
+    }
+
+    @Test
+    void callThatEndsWithoutALineEndIsAnswered() throws IOException {
+        Socket socket = call("READY");
+        socket.shutdownOutput();
+        assertEquals(List.of("SUCCESS ready"), lines(socket));
+    }
+
+    /** Callers that say nothing take the place of no other, however many they are. */
+    @Test
+    void silentCallersAreBoundedAndDoNotShutOthersOut() throws IOException {
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 3 * Door.MOST_CALLS; i++) {
+            silent.add(call(i % 2 == 0 ? "" : "REA"));
+        }
+        assertEquals(List.of("SUCCESS ready"), lines(call("READY\n")));
+        for (int i = 0; i < 2 * Door.MOST_CALLS; i++) {
+            assertEquals(-1, silent.get(i).getInputStream().read(), "the oldest have gone");
+        }
+    }
+
+    @Test
+    void halfACallIsEnded() throws IOException {
+        assertNull(new BufferedReader(new InputStreamReader(call("STA").getInputStream(),
+                StandardCharsets.US_ASCII)).readLine());
+    }
+}
