Let a new process take over: both listen at the clients' address

Design: SO_REUSEPORT on the listener, and a lock file in the common folder by which each process knows that the other lives. A successor listens once it knows the list. The old one accepts what waits, closes its listener right behind that, and gives each client with its next answer the word to connect anew. Descriptors are shared while two live. Process life moved from Main into Node. Rejected: closing idle connections at SIGTERM, which crosses requests under way; and Netty's own close of the listener, which takes effect one round of the selector later and resets who connects meanwhile.

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -9,7 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -27,6 +27,7 @@
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -60,15 +61,16 @@
     private final EventLoop loop;
     private final Driver driver;
     private final RequestCheck check;
-    private final int maxConnections;
+    private int maxConnections;
     private final Set<Session> sessions = new HashSet<>();
     /** Connections that have yet to send a request, those between two, and those with an answer to read. */
     private final Set<Session> silent = new LinkedHashSet<>();
     private final Set<Session> idle = new LinkedHashSet<>();
     private final Set<Session> unread = new LinkedHashSet<>();
     private final Promise<Void> drained;
-    private volatile Channel listening;
+    private volatile Listener listening;
     private volatile boolean stopping;
+    /** Whether each answer is the last on its connection. */
     private boolean leaving;
 
     ClientServer(EventLoop loop, Driver driver, SettingsReader.Found facts, int maxConnections) {
@@ -81,21 +83,16 @@
 
     /** Listens; fails if the address can't be had. */
     void bind(InetSocketAddress address) throws InterruptedException {
-        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listening = (Listener) new ServerBootstrap().group(loop).channelFactory(Listener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override protected void initChannel(Channel channel) {
-                        listening = channel;
-                        loop.scheduleWithFixedDelay(ClientServer.this::sweep, SWEEP_MS, SWEEP_MS,
-                                TimeUnit.MILLISECONDS);
-                    }
-                })
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         prepare(channel);
                     }
-                }).bind(address).sync();
+                }).bind(address).sync().channel();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Makes a channel one to a client. */
@@ -122,16 +119,39 @@
     }
 
     /**
-     * A planned stop: goes on accepting while clients still come, and serving those that have connections,
-     * was taken, the last of it as failed when time runs out. The future is done when nothing is left.
-     * was taken, the last of it as failed when time runs out. The future is done when nothing is pending.
+     * A planned stop: goes on accepting while clients still come, and serving those that have connections.
+     * All that was taken is answered, the last of it as failed when time runs out. The future is done when
+     * nothing is left.
      */
     Promise<Void> drain(long keepAcceptingMs, long keepServingMs, long lastAnswerMs) {
         loop.execute(() -> stopping = true);
-        loop.schedule(() -> {
-            listening.close();
-            finishIfDrained();
-        }, keepAcceptingMs, TimeUnit.MILLISECONDS);
+        loop.schedule(this::stopAccepting, keepAcceptingMs, TimeUnit.MILLISECONDS);
+        return end(keepServingMs, lastAnswerMs);
+    }
+
+    /**
+     * A stop with a successor in place, which has this address too: those who wait here are let in, and
+     * whoever asks for something gets with the answer the word to connect anew. A connection closed with no
+     * request on it may cross one, so that is left to the end.
+     */
+    Promise<Void> handOver(long keepServingMs, long lastAnswerMs) {
+        loop.execute(() -> {
+            stopping = true;
+            leaving = true;
+            stopAccepting();
+        });
+        return end(keepServingMs, lastAnswerMs);
+    }
+
+    private void stopAccepting() {
+        listening.closeFuture().addListener(f -> finishIfDrained());
+        listening.closeBehindTheLast(channel -> {
+            prepare(channel);
+            loop.register(channel);
+        });
+    }
+
+    private Promise<Void> end(long keepServingMs, long lastAnswerMs) {
         loop.schedule(() -> {
             leaving = true;
             closeIdle();
@@ -177,13 +197,19 @@
                 && System.nanoTime() - sessions.iterator().next().since > TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
+    /** From now on there may be so many connections. */
+    void limit(int most) {
+        maxConnections = most;
+        makeRoom();
+    }
+
     /** Beyond the limit clients wait to be accepted: with more, upstreams would lack descriptors. */
     private void makeRoom() {
         while (sessions.size() >= maxConnections
                 && (lasts(silent, YIELD_NEW_MS) || lasts(idle, YIELD_OLD_MS))) {
             (lasts(silent, YIELD_NEW_MS) ? silent : idle).iterator().next().close();
         }
-        if (listening != null && listening.isOpen()) {
+        if (listening != null && listening.isOpen() && listening.isRegistered()) {
             listening.config().setAutoRead(sessions.size() < maxConnections);
         }
     }
--- /dev/null
+++ b/src/main/java/yewyoke/node/Listener.java
@@ -0,0 +1,40 @@
+package yewyoke.node;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The clients' address. It can be given up without losing those who wait there to be accepted. */
+final class Listener extends NioServerSocketChannel {
+    private static final System.Logger LOG = System.getLogger(Listener.class.getName());
+
+    /**
+     * Accepts all that waits and closes right behind the last one. The socket leaves its selector first: as
+     * long as it is in there, closing only takes effect later, and whoever connects meanwhile is reset.
+     */
+    void closeBehindTheLast(Consumer<Channel> accepted) {
+        EventLoop loop = eventLoop();
+        deregister().addListener(f -> loop.execute(() -> closeOnceFree(loop, accepted)));
+    }
+
+    private void closeOnceFree(EventLoop loop, Consumer<Channel> accepted) {
+        if (javaChannel().isRegistered()) {
+            loop.execute(() -> closeOnceFree(loop, accepted));
+            return;
+        }
+        List<Object> last = new ArrayList<>();
+        try {
+            while (doReadMessages(last) > 0) {
+                continue;
+            }
+            javaChannel().close();
+        } catch (Exception e) {
+            LOG.log(System.Logger.Level.WARNING, "stopped accepting after a failure: " + e);
+        }
+        last.forEach(channel -> accepted.accept((Channel) channel));
+        close(); // tells those who wait for the end of this that there is no more to come
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/node/Node.java
@@ -0,0 +1,122 @@
+package yewyoke.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import yewyoke.Balancer;
+import yewyoke.ops.Figures;
+
+/**
+ * One balancer in one process, from its start to its end. All of it lives on one event loop; what operators
+ * ask may come from any thread.
+ */
+final class Node {
+    private static final System.Logger LOG = System.getLogger(Node.class.getName());
+    /** After SIGTERM connections come for up to 0.4 s more; a little later none waits to be accepted. */
+    private static final long KEEP_ACCEPTING_MS = 500;
+    /** SIGKILL comes so long after SIGTERM and the longest deadline, which counts for 3 s at most. */
+    private static final long KILL_MS = 700;
+    private static final long LONGEST_DEADLINE_MS = 3_000;
+    /** What SIGKILL finds unanswered is lost: so long before it the last answers go out, and clients go. */
+    private static final long LAST_ANSWER_MS = 250;
+    private static final long LAST_REQUEST_MS = 700;
+    /** How often to look for a second process, and whether the list is known. */
+    private static final long LOOK_MS = 100;
+
+    private final EventLoop loop;
+    private final Path file;
+    private final Figures figures;
+    private final Config config;
+    private final Twin twin;
+    private final Upstreams upstreams;
+    private final Driver driver;
+    private final Discovery discovery;
+    private final ClientServer server;
+    private boolean shares;
+
+    private Node(EventLoop loop, Path file, Figures figures, Twin twin, Config config) {
+        this.loop = loop;
+        this.file = file;
+        this.figures = figures;
+        this.config = config;
+        this.twin = twin;
+        this.shares = twin.lives();
+        var settings = config.facts().settings();
+        Room room = Room.of(config.sockets(), shares);
+        this.upstreams = new Upstreams(loop, settings.limits().connectTimeout(),
+                settings.limits().connectIdle(), room.upstreams());
+        this.driver = new Driver(loop, config, upstreams, figures);
+        this.discovery = new Discovery(loop, config.discovery(), settings.askForList(),
+                config.known().version(), driver);
+        this.server = new ClientServer(loop, driver, config.facts(), room.clients());
+    }
+
+    /** Makes a balancer that follows discovery; it serves nobody before {@link #listen}. */
+    static Node start(Path file, EventLoop loop, Figures figures, Path folder) throws Exception {
+        return loop.submit(() -> {
+            Config config = Config.read(file);
+            Node node = new Node(loop, file, figures, Twin.join(folder, config.listen()), config);
+            node.driver.start(node.discovery, config.known());
+            loop.scheduleWithFixedDelay(node::lookForTwin, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            return node;
+        }).sync().getNow();
+    }
+
+    /**
+     * Lets clients in. One that replaces another waits for the list: from the moment it listens the system
+     * deals part of the clients to it, and the other one still serves them better.
+     */
+    void listen() throws InterruptedException {
+        while (twin.lives() && !driver.ready()) {
+            Thread.sleep(LOOK_MS);
+        }
+        server.bind(config.listen());
+    }
+
+    /** Two processes share what is given to one: descriptors first of all. */
+    private void lookForTwin() {
+        boolean two = twin.lives();
+        if (two != shares) {
+            shares = two;
+            Room room = Room.of(config.sockets(), shares);
+            server.limit(room.clients());
+            upstreams.limit(room.upstreams());
+        }
+    }
+
+    ClientServer server() {
+        return server;
+    }
+
+    /** Reads the configuration again: discovery may have moved. A file that can't be read changes nothing. */
+    void reload() {
+        try {
+            discovery.move(Config.read(file).discovery());
+            figures.loaded(true);
+        } catch (Exception e) {
+            figures.loaded(false);
+            LOG.log(System.Logger.Level.WARNING, "kept the old configuration: " + Main.firstLine(e));
+        }
+    }
+
+    /**
+     * Ends without losing anything; the future is done when nothing is left. With a successor in place
+     * clients go there from now on; without one they have nowhere to go yet and are still let in.
+     */
+    Future<Void> stop() {
+        long longest = config.facts().settings().classes().stream()
+                .mapToLong(Balancer.RequestClass::giveUp).max().orElse(0) / 1_000;
+        long kill = Math.min(LONGEST_DEADLINE_MS, longest) + KILL_MS;
+        long leave = Math.max(KEEP_ACCEPTING_MS, kill - LAST_REQUEST_MS);
+        if (twin.lives()) {
+            return server.handOver(leave, kill - LAST_ANSWER_MS);
+        }
+        return server.drain(KEEP_ACCEPTING_MS, leave, kill - LAST_ANSWER_MS);
+    }
+
+    void close() throws IOException {
+        twin.close();
+    }
+}
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -46,7 +46,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long idleNanos;
-    private final int maxConnections;
+    private int maxConnections;
     private final Map<String, Server> servers = new HashMap<>();
     private int connections;
 
@@ -118,6 +118,14 @@
         }
     }
 
+    /** From now on there may be so many connections; idle ones beyond that are closed. */
+    void limit(int most) {
+        maxConnections = most;
+        for (int excess = connections - most; excess > 0 && closeOldestIdle(); excess--) {
+            continue;
+        }
+    }
+
     /** How many upstreams the list has. */
     int listed() {
         return servers.size();
--- a/src/test/java/yewyoke/node/OnSockets.java
+++ b/src/test/java/yewyoke/node/OnSockets.java
@@ -32,9 +32,10 @@
     private final List<AutoCloseable> started = new ArrayList<>();
     EventLoopGroup group;
     int sockets = 1024;
+    String listen = "127.0.0.1:0";
     String idle = "10";
     String reports = "silent";
-    Main.Node running;
+    Node running;
     final Figures figures = new Figures();
     ClientServer node;
     private int sent;
@@ -87,7 +88,7 @@
     /** Starts a balancer that knows a list and follows discovery. */
     void start(String known, Server discovery) throws Exception {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"" + listen + "\",\"discovery\":\""
                 + discovery.addr() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"sockets\":" + sockets + "},"
                 + "\"known\":" + known + ",\"settings\":{\"az\":0,\"localities\":[\"z\"],\"kinds\":[\"k\"],"
@@ -99,10 +100,18 @@
                 + idle + "},\"rules\":{\"answer-slack-s\":0.02,\"drain-grace-s\":2,\"cold-s\":9,"
                 + "\"start-capacity\":0.2,\"fall-multiple\":3,\"fall-s\":1},\"report\":{\"names\":[\"cpu\"],"
                 + "\"via\":\"" + reports + "\"},\"prices\":{},\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
-        running = Main.serve(file, group.next(), figures, n -> { });
+        running = node(file);
         node = running.server();
     }
 
+    /** One more process, as far as others can tell. */
+    Node node(Path file) throws Exception {
+        Node next = Node.start(file, group.next(), figures, folder);
+        started.add(next::close);
+        next.listen();
+        return next;
+    }
+
     void start(Server... upstreams) throws Exception {
         start(ready(upstreams), server(HANG));
     }
--- a/src/test/java/yewyoke/node/ReloadTest.java
+++ b/src/test/java/yewyoke/node/ReloadTest.java
@@ -28,7 +28,7 @@
     private void reload(String from, String to) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, Files.readString(file).replace(from, to));
-        group.next().submit(() -> Main.reload(file, running, figures)).sync();
+        group.next().submit(() -> running.reload()).sync();
     }
 
     /** Versions of another discovery mean nothing: asked from there, it would leave out what came before. */
@@ -102,6 +102,7 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), Main.class.getName(), "serve");
         builder.environment().put("NODE_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", folder.toString());
         Process process = builder.redirectErrorStream(true).redirectOutput(new File("/dev/null")).start();
         try {
             Sockets.next(old.requests);
--- /dev/null
+++ b/src/test/java/yewyoke/node/ReplacementTest.java
@@ -0,0 +1,119 @@
+package yewyoke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import yewyoke.node.Sockets.Client;
+import yewyoke.node.Sockets.Message;
+import yewyoke.node.Sockets.Server;
+
+/** One process takes the place of another, and no client notices. */
+class ReplacementTest extends OnSockets {
+    private static String freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return "127.0.0.1:" + free.getLocalPort();
+        }
+    }
+
+    @Test
+    void clientsMoveToTheSuccessorWithTheirNextAnswer() throws Exception {
+        listen = freeAddress();
+        Server upstream = server(SERVE);
+        start(ready(upstream), server((m, s) -> {
+            Sockets.beginChunks(s);
+            Sockets.chunk(s, ready(upstream));
+        }));
+        Client kept = client();
+        assertNull(kept.write(submit()).read().headers().get("connection"));
+        Node successor = node(folder.resolve("config.json"));
+        assertEquals("", successor.server().whyNotReady());
+        Future<Void> stopped = running.stop();
+        Message last = kept.write(submit()).read();
+        assertEquals(200, last.status());
+        assertEquals("close", last.headers().get("connection"));
+        assertNull(kept.read());
+        assertTrue(stopped.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals("stopping", running.server().whyNotReady());
+        for (int i = 0; i < 20; i++) {
+            Message answer = client().write(submit()).read();
+            assertEquals(200, answer.status());
+            assertNull(answer.headers().get("connection"), "the successor's clients stay");
+        }
+    }
+
+    /** Those whom the system has dealt to the old process can't be dealt to another any more. */
+    @Test
+    void clientsThatWaitAtTheOldProcessAreLetIn() throws Exception {
+        start(server(SERVE));
+        group.next().submit(() -> node.limit(0)).sync();
+        List<Client> waiting = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            waiting.add(client().write(submit()));
+        }
+        node.handOver(600_000, 600_000);
+        for (Client client : waiting) {
+            assertEquals(200, client.read().status());
+            assertNull(client.read());
+        }
+    }
+
+    /** Dealt clients by the system from when it listens, a successor without the list kept them waiting. */
+    @Test
+    void successorListensOnlyOnceItKnowsTheList() throws Exception {
+        listen = freeAddress();
+        Server upstream = server(SERVE);
+        start(upstream);
+        Path file = folder.resolve("config.json");
+        Node successor = Node.start(file, group.next(), figures, folder);
+        assertEquals("not listening yet", successor.server().whyNotReady());
+        successor.listen();
+        assertEquals("", successor.server().whyNotReady());
+        successor.close();
+    }
+
+    @Test
+    void twinsTellOfEachOther() throws Exception {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 8080);
+        Twin one = Twin.join(folder, address);
+        assertFalse(one.lives());
+        Twin other = Twin.join(folder, address);
+        assertTrue(one.lives());
+        assertTrue(other.lives());
+        assertFalse(Twin.join(folder, new InetSocketAddress("127.0.0.1", 8081)).lives(), "another balancer");
+        one.close();
+        assertFalse(other.lives());
+        other.close();
+    }
+
+    @Test
+    void folderThatCannotBeWrittenMeansOneProcess() throws Exception {
+        Twin twin = Twin.join(folder.resolve("missing"), new InetSocketAddress("127.0.0.1", 8080));
+        assertFalse(twin.lives());
+        twin.close();
+    }
+
+    @Test
+    void twoProcessesStayWithinTheDescriptorsOfOne() {
+        for (int sockets : new int[] {256, 384, 512, 1024}) {
+            Room alone = Room.of(sockets, false);
+            Room shared = Room.of(sockets, true);
+            assertTrue(alone.clients() + alone.upstreams() < sockets);
+            assertTrue(shared.clients() + shared.upstreams() <= 0.6 * sockets, shared.toString());
+            assertNotEquals(alone, shared);
+        }
+        assertEquals(new Room(1, 1), Room.of(10, true));
+    }
+}
