Close the old listener without holding up the loop

Cause found by log lines at each step of a hand-over: between leaving the selector and the last accept the loop stood still for 1.0 s, since tasks that queue themselves again run for up to a second before the next select. The step now waits by timer. Ruled out: clients closed on while idle (2 at most), the lock file (the successor was seen), and room (no limit was reached). The stop now runs from signal handlers: a shutdown hook finds the log already closed, and said nothing. Rejected: a thread of its own for accepting, which costs a stack and brings locks for one moment in a life.

--- a/src/main/java/yewyoke/node/Listener.java
+++ b/src/main/java/yewyoke/node/Listener.java
@@ -5,6 +5,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** The clients' address. It can be given up without losing those who wait there to be accepted. */
@@ -17,12 +18,13 @@
      */
     void closeBehindTheLast(Consumer<Channel> accepted) {
         EventLoop loop = eventLoop();
-        deregister().addListener(f -> loop.execute(() -> closeOnceFree(loop, accepted)));
+        deregister().addListener(f -> closeOnceFree(loop, accepted));
     }
 
     private void closeOnceFree(EventLoop loop, Consumer<Channel> accepted) {
         if (javaChannel().isRegistered()) {
-            loop.execute(() -> closeOnceFree(loop, accepted));
+            // By timer: the loop runs tasks that follow one another for up to a second before it selects.
+            loop.schedule(() -> closeOnceFree(loop, accepted), 1, TimeUnit.MILLISECONDS);
             return;
         }
         List<Object> last = new ArrayList<>();
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -20,10 +20,16 @@
     private static final int REHEARSED = 600;
     private static final long REHEARSAL_MS = 4_000;
 
+    /** A line for each message: as it comes, the log has two. */
+    private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
+
     private Main() { }
 
     /** Runs until SIGTERM ({@code serve}) or the end of input ({@code adapter}). */
     public static void main(String[] args) {
+        if (System.getProperty(LOG_FORMAT) == null) {
+            System.setProperty(LOG_FORMAT, "%4$s %5$s%6$s%n");
+        }
         int exit = run(args, System.getenv("NODE_CONFIG"), System.err);
         if (exit != 0) {
             System.exit(exit);
@@ -49,7 +55,7 @@
             AtomicReference<Node> node = new AtomicReference<>();
             // First of all: unhandled, the signal ends the JVM. A node not up yet reads the new file anyway.
             Figures figures = new Figures();
-            onHangUp(() -> loop.execute(() -> {
+            on("HUP", () -> loop.execute(() -> {
                 if (node.get() != null) {
                     node.get().reload();
                 }
@@ -66,13 +72,9 @@
             node.set(Node.start(file, loop, figures, temporary()));
             node.get().listen();
             err.println("serving, with " + rehearsed + " requests rehearsed");
-            // On SIGTERM the JVM waits for this hook while the event loop goes on.
-            Runtime.getRuntime().addShutdownHook(
-                    new Thread(() -> {
-                        err.println("stopping");
-                        node.get().stop().awaitUninterruptibly();
-                        err.println("stopped");
-                    }));
+            // No shutdown hook: as soon as those run, the log is closed, and a stop has something to say.
+            on("TERM", () -> stop(node.get(), err));
+            on("INT", () -> stop(node.get(), err));
             return 0;
         } catch (Exception e) {
             err.println("can't serve: " + firstLine(e));
@@ -97,8 +99,17 @@
         return e.toString().lines().findFirst().orElse("");
     }
 
-    /** SIGHUP by reflection: the compiler warns of the class, and warnings are errors here. */
-    private static void onHangUp(Runnable body) throws ReflectiveOperationException {
+    /** Ends the process once nothing is left to be answered; asked again, it goes on with that. */
+    private static void stop(Node node, PrintStream err) {
+        err.println("stopping");
+        node.stop().addListener(f -> {
+            err.println("stopped");
+            new Thread(() -> System.exit(0)).start();
+        });
+    }
+
+    /** Signals by reflection: the compiler warns of the class, and warnings are errors here. */
+    private static void on(String name, Runnable body) throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
         Object ours = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
@@ -107,6 +118,6 @@
                     return null;
                 });
         signal.getMethod("handle", signal, handler)
-                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+                .invoke(null, signal.getConstructor(String.class).newInstance(name), ours);
     }
 }
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -110,7 +110,9 @@
                 .mapToLong(Balancer.RequestClass::giveUp).max().orElse(0) / 1_000;
         long kill = Math.min(LONGEST_DEADLINE_MS, longest) + KILL_MS;
         long leave = Math.max(KEEP_ACCEPTING_MS, kill - LAST_REQUEST_MS);
-        if (twin.lives()) {
+        boolean successor = twin.lives();
+        LOG.log(System.Logger.Level.INFO, successor ? "hands over to a successor" : "has no successor");
+        if (successor) {
             return server.handOver(leave, kill - LAST_ANSWER_MS);
         }
         return server.drain(KEEP_ACCEPTING_MS, leave, kill - LAST_ANSWER_MS);
