Take new settings at SIGHUP, or keep the old ones whole

Design: the file is read, checked and compared with the keys of the present one before anything changes; then settings and discovery change together. The module gets one event and gives each class an object that requests hold on to, with their limits, so that no index is ever read under other settings. Rejected: a list of keys that must be there. It would have to follow each new key, and a file short of one that has a default would pass; what the present file has is the better measure.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -66,15 +66,13 @@
     private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final Settings settings;
     private final Actions out;
     private final SplittableRandom random;
-    private final long margin;
-    private final double waitShare;
-    private final long waitTarget;
-
-    private final boolean tells, asks;
-    private final double asksEach;
+    private Settings settings;
+    private long margin, waitTarget;
+    private double waitShare, asksEach;
+    private boolean tells, asks;
+    private Lane[] lanes = {};
     private final Map<String, Up> byId = new LinkedHashMap<>();
     private final Map<Integer, Up> byHash = new HashMap<>();
     private final List<Up> ups = new ArrayList<>();
@@ -84,8 +82,8 @@
             Comparator.<Req>comparingLong(r -> r.deadline).thenComparingLong(r -> r.number));
     private final TreeSet<Req> held = new TreeSet<>(
             Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
-    private final double[] classTook, refusedAfter, tenantTokens;
-    private final long[] tenantAt;
+    private double[] tenantTokens = {};
+    private long[] tenantAt = {};
     private long requestNumber, requestsSince, nextReweight, nextProbe, nextSweep, decideAt;
     private long askAgainAt = Long.MAX_VALUE, dueAt = Long.MAX_VALUE;
     private double requestRate, typicalTook, typicalPace, unitTook, warmRate, meanCost, askTokens;
@@ -93,25 +91,58 @@
 
     /** Creates an instance; bad settings are refused with the field's name. */
     public Balance(Settings settings, long seed, Actions out) {
-        SettingsCheck.check(settings);
-        this.settings = settings;
         this.out = out;
         this.random = new SplittableRandom(seed);
-        this.margin = MARGIN_TICKS * Math.max(settings.tick(), 1_000);
-        long tightest = settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
-        this.waitShare = WAIT_SHARE + WAIT_MORE * Math.min(1, FEW / settings.groupSize());
-        this.waitTarget = (long) (waitShare * tightest);
-        this.typicalPace = TOLD_CARE * tightest / FIRST_TOTAL;
+        take(settings);
+        this.typicalPace = TOLD_CARE * tightest() / FIRST_TOTAL;
+    }
+
+    private long tightest() {
+        return settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
+    }
+
+    private void take(Settings next) {
+        SettingsCheck.check(next);
+        settings = next;
+        margin = MARGIN_TICKS * Math.max(settings.tick(), 1_000);
+        waitShare = WAIT_SHARE + WAIT_MORE * Math.min(1, FEW / settings.groupSize());
+        waitTarget = (long) (waitShare * tightest());
         Limits limits = settings.limits();
-        this.tells = limits.peers() && settings.groupSize() > 1
+        tells = limits.peers() && settings.groupSize() > 1
                 && 2.0 * SHARERS * MESSAGE_BYTES / 256 * settings.prices().peer() < NEWS_POINTS;
-        this.asksEach = NEWS_POINTS / Math.max(settings.prices().probe(), 1e-6);
-        this.asks = limits.probes() && settings.reports() == Reports.BY_PROBE && asksEach > LEAST_SUBSET
+        asksEach = NEWS_POINTS / Math.max(settings.prices().probe(), 1e-6);
+        asks = limits.probes() && settings.reports() == Reports.BY_PROBE && asksEach > LEAST_SUBSET
                 && settings.groupSize() > 1;
-        this.tenantTokens = new double[settings.tenants().size()];
-        this.tenantAt = new long[settings.tenants().size()];
-        this.refusedAfter = new double[settings.classes().size()];
-        this.classTook = new double[settings.classes().size()];
+        if (tenantAt.length != settings.tenants().size()) {
+            tenantTokens = new double[settings.tenants().size()];
+            tenantAt = new long[settings.tenants().size()];
+        }
+        Lane[] old = lanes;
+        lanes = settings.classes().stream().map(c -> new Lane(c, old)).toArray(Lane[]::new);
+    }
+
+    @Override public void settings(long now, Settings next) {
+        take(next);
+        pump(now);
+    }
+
+    /**
+     * A class with what was learnt of it. Requests hold on to theirs, so that new settings, which may have
+     * another class in the same place, or the same name for another, change nothing for them.
+     */
+    private static final class Lane {
+        final RequestClass cls;
+        double took, refusedAfter;
+
+        Lane(RequestClass cls, Lane[] before) {
+            this.cls = cls;
+            for (Lane old : before) {
+                if (old.cls.name().equals(cls.name())) {
+                    took = old.took;
+                    refusedAfter = old.refusedAfter;
+                }
+            }
+        }
     }
 
     private static final class Up {
@@ -160,6 +191,8 @@
 
     private static final class Req {
         final Request request;
+        final Lane lane;
+        final Limits limits;
         final RequestClass cls;
         final long number, arrivedAt, deadline;
         long aimAt;
@@ -168,9 +201,11 @@
         Up home;
         boolean ended, streaming, waiting, late;
 
-        Req(Request request, RequestClass cls, long number, long now) {
+        Req(Request request, Lane lane, Limits limits, long number, long now) {
             this.request = request;
-            this.cls = cls;
+            this.lane = lane;
+            this.limits = limits;
+            this.cls = lane.cls;
             this.number = number;
             this.arrivedAt = now;
             this.deadline = now + request.timeLeft();
@@ -358,8 +393,7 @@
             typicalPace = smooth(typicalPace, paced, SMOOTH_ALL);
             typicalTook = smooth(typicalTook, end.took(), SMOOTH_ALL);
             adjustLimit(up, t, waitOf(up, r, end.took(), now), r.cls.aim(), now);
-            int c = r.request.classIndex();
-            classTook[c] = smooth(classTook[c], end.took(), SMOOTH_ALL);
+            r.lane.took = smooth(r.lane.took, end.took(), SMOOTH_ALL);
         } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
             // No answer is the longest waiting there is; the work may still run there.
             up.pace = Math.max(up.pace, smooth(up.pace, end.took() / Math.max(1, t.line), SMOOTH));
@@ -495,14 +529,14 @@
 
     /** What rules 1 to 3 leave open for a further attempt. */
     private boolean maySend(Req r, Up up, long now) {
-        if (r.ended || r.streaming || r.tries.size() >= settings.limits().maxAttempts()
+        if (r.ended || r.streaming || r.tries.size() >= r.limits.maxAttempts()
                 || now >= r.deadline) {
             return false;
         }
         if (r.tries.isEmpty()) {
             return true;
         }
-        if (r.outstanding() > 0 && !settings.limits().secondCopies()) {
+        if (r.outstanding() > 0 && !r.limits.secondCopies()) {
             return false;
         }
         Try guard = r.guard();
@@ -569,7 +603,7 @@
         if (up != null) {
             send(r, up, now);
         } else if (now < r.deadline - margin && r.guard() == null
-                && r.tries.size() < settings.limits().maxAttempts()) {
+                && r.tries.size() < r.limits.maxAttempts()) {
             hold(r, true, now);
         } else {
             finish(r, now);
@@ -582,8 +616,7 @@
         if (mayRefuse(r)) {
             out.refuse(r.request.id(), 0);
             if (!r.request.retry()) {
-                int c = r.request.classIndex();
-                refusedAfter[c] += 0.05 * (now - r.arrivedAt - refusedAfter[c]);
+                r.lane.refusedAfter += 0.05 * (now - r.arrivedAt - r.lane.refusedAfter);
             }
         } else {
             out.fail(r.request.id());
@@ -595,7 +628,7 @@
         hold(r, false, now);
         r.ended = true;
         for (int i = 0; i < r.tries.size(); i++) {
-            if (r.tries.get(i).outstanding && settings.limits().cancel() && !r.streaming) {
+            if (r.tries.get(i).outstanding && r.limits.cancel() && !r.streaming) {
                 out.cancel(r.request.id(), i);
             }
         }
@@ -621,11 +654,12 @@
     // ---- Admission and load shedding -----------------------------------------------------------------
 
     @Override public void request(long now, Request request) {
-        Req r = new Req(request, settings.classes().get(request.classIndex()), requestNumber++, now);
-        double typical = classTook[request.classIndex()];
+        Lane lane = lanes[request.classIndex()];
+        Req r = new Req(request, lane, settings.limits(), requestNumber++, now);
+        double typical = lane.took;
         if (request.retry()) {
             // Its aim runs from the first try, and a refusal is what mostly lies behind it.
-            r.aimAt -= (long) refusedAfter[request.classIndex()];
+            r.aimAt -= (long) lane.refusedAfter;
         }
         r.cost = request.expectedWork() > 0 ? request.expectedWork() : typical > 0 ? typical : 1;
         r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
@@ -702,7 +736,7 @@
         for (Req r : new ArrayList<>(held)) {
             double late = r.cls.lateWorth();
             double least = tells || asks ? size(r) * typicalPace
-                    : Math.max(ownService(r, unitTook), classTook[r.request.classIndex()]);
+                    : Math.max(ownService(r, unitTook), r.lane.took);
             if (now + least > r.aimAt && late <= 0) {
                 finish(r, now);
             } else if (now + least > r.aimAt && !r.late) {
--- a/src/main/java/yewyoke/Balancer.java
+++ b/src/main/java/yewyoke/Balancer.java
@@ -16,6 +16,12 @@
     /** Brings up the instance: sets its first timer. Call it once, before any other event. */
     void start(long now);
 
+    /**
+     * New settings hold for requests that come from now on; open ones keep what they came under. Refused as a
+     * whole with the field's name, and the old ones then stay.
+     */
+    void settings(long now, Settings settings);
+
     /** The list of upstreams, or changes of it, as discovery told it. */
     void upstreams(long now, ListKind kind, List<Upstream> entries);
 
@@ -141,7 +147,7 @@
     /**
      * A class of requests. {@code aimStretch} lengthens the aim by that multiple of the request's own work.
      */
-    record RequestClass(long aim, double aimStretch, long giveUp, double worth, double lateWorth,
+    record RequestClass(String name, long aim, double aimStretch, long giveUp, double worth, double lateWorth,
             Effect effect,
             Scope scope, long memorySpan, boolean stream) { }
 
--- a/src/main/java/yewyoke/SettingsCheck.java
+++ b/src/main/java/yewyoke/SettingsCheck.java
@@ -5,11 +5,11 @@
 import yewyoke.Balancer.Tenant;
 
 /** Checks settings before a module is built on them; it decides nothing. */
-final class SettingsCheck {
+public final class SettingsCheck {
     private SettingsCheck() { }
 
     /** Refuses bad settings with the name of the field. */
-    static void check(Settings s) {
+    public static void check(Settings s) {
         require(!s.classes().isEmpty(), "classes");
         require(s.zones() >= 1, "zones");
         require(s.zone() >= 0 && s.zone() < s.zones(), "zone");
--- a/src/main/java/yewyoke/adapter/SettingsReader.java
+++ b/src/main/java/yewyoke/adapter/SettingsReader.java
@@ -90,9 +90,9 @@
         Node facts = node(json);
         List<RequestClass> classes = new ArrayList<>();
         for (Node c : facts.list("classes")) {
-            classes.add(new RequestClass(c.time("aim-s"), c.number("aim-stretch", 0), c.time("give-up-s"),
-                    c.number("worth", 1), c.number("late-worth", 0), c.choice("repeat", EFFECTS,
-                    Effect.UNSAFE),
+            classes.add(new RequestClass(c.texts.getOrDefault("name", ""), c.time("aim-s"),
+                    c.number("aim-stretch", 0), c.time("give-up-s"), c.number("worth", 1),
+                    c.number("late-worth", 0), c.choice("repeat", EFFECTS, Effect.UNSAFE),
                     c.choice("dedup-scope", SCOPES, Scope.CELL), c.time("memory-span-s"), c.flag("stream")));
         }
         List<Tenant> tenants = new ArrayList<>();
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -60,7 +60,7 @@
 
     private final EventLoop loop;
     private final Driver driver;
-    private final RequestCheck check;
+    private RequestCheck check;
     private int maxConnections;
     private final Set<Session> sessions = new HashSet<>();
     /** Connections that have yet to send a request, those between two, and those with an answer to read. */
@@ -197,6 +197,11 @@
                 && System.nanoTime() - sessions.iterator().next().since > TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
+    /** Requests that are read from now on are held against these. */
+    void settings(SettingsReader.Found facts) {
+        check = new RequestCheck(facts);
+    }
+
     /** From now on there may be so many connections. */
     void limit(int most) {
         maxConnections = most;
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -9,25 +9,38 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import yewyoke.SettingsCheck;
 import yewyoke.adapter.BadInput;
 import yewyoke.adapter.SettingsReader;
 
 /**
  * What this balancer is told at its start: addresses, limits, the list as last held, and the settings.
- * {@code ops} is null where operators have no door.
+ * {@code ops} is null where operators have no door. Only a file that is good as a whole becomes one of these.
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, long seed,
-        int sockets, ServerList known, SettingsReader.Found facts) {
+        int sockets, ServerList known, SettingsReader.Found facts, Keys keys) {
     static final JsonFactory JSON = new JsonFactory();
     private static final int DEFAULT_SOCKETS = 1024;
 
     static Config read(Path file) throws BadInput, IOException {
-        try (JsonParser json = JSON.createParser(Files.readAllBytes(file))) {
-            return read(json);
+        byte[] text = Files.readAllBytes(file);
+        try (JsonParser json = JSON.createParser(text)) {
+            return read(json, text);
+        } catch (IllegalArgumentException e) {
+            throw new BadInput(e.getMessage());
         }
     }
 
-    private static Config read(JsonParser json) throws BadInput, IOException {
+    /** Complains if the file lacks a key that the present one has: it was written by halves. */
+    Config after(Config present) throws BadInput {
+        String lacked = keys.lackedOf(present.keys);
+        if (lacked != null) {
+            throw new BadInput("field " + lacked + " is missing");
+        }
+        return this;
+    }
+
+    private static Config read(JsonParser json, byte[] text) throws BadInput, IOException {
         InetSocketAddress listen = null;
         InetSocketAddress discovery = null;
         InetSocketAddress ops = null;
@@ -55,7 +68,13 @@
         ServerList.require(listen != null, "listen");
         ServerList.require(discovery != null, "discovery");
         ServerList.require(facts != null, "settings");
-        return new Config(listen, discovery, ops, seed, sockets, known, facts);
+        if (json.nextToken() != null) {
+            throw new BadInput("text after the end of the object");
+        }
+        SettingsCheck.check(facts.settings());
+        ServerList.require(facts.classes().stream().noneMatch(String::isEmpty)
+                && facts.classes().stream().distinct().count() == facts.classes().size(), "classes.name");
+        return new Config(listen, discovery, ops, seed, sockets, known, facts, Keys.of(text, "known"));
     }
 
     private static int sockets(JsonParser json, int otherwise) throws IOException {
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -48,8 +48,8 @@
     private static final long FLEET_MS = 100;
 
     private final EventLoop loop;
-    private final SettingsReader.Found facts;
-    private final Limits limits;
+    private SettingsReader.Found facts;
+    private Limits limits;
     private final String host;
     private final Upstreams upstreams;
     private final Figures figures;
@@ -87,6 +87,9 @@
     /** One request from its arrival until it is answered and all its attempts have ended. */
     private static final class Open {
         final Request request;
+        /** As of its arrival: new settings may have another class in its place, and other limits. */
+        final String className;
+        final Limits limits;
         final FullHttpRequest message;
         final Client client;
         long deadline;
@@ -94,8 +97,11 @@
         ScheduledFuture<?> atDeadline;
         boolean concluded;
 
-        Open(Request request, FullHttpRequest message, Client client, long now) {
+        Open(Request request, String className, Limits limits, FullHttpRequest message, Client client,
+                long now) {
             this.request = request;
+            this.className = className;
+            this.limits = limits;
             this.message = message;
             this.client = client;
             this.deadline = now + request.timeLeft();
@@ -137,6 +143,14 @@
         }
     }
 
+    /** New settings, already found good: for the module one event, for requests to come one whole. */
+    void settings(SettingsReader.Found next) {
+        facts = next;
+        limits = next.settings().limits();
+        next.classes().forEach(figures::show);
+        event(() -> balancer.settings(now(), next.settings()));
+    }
+
     /** Whether there are upstreams to serve from; any thread may ask. */
     boolean ready() {
         return ready;
@@ -193,7 +207,8 @@
     /** Takes a request and its message; exactly one answer follows unless the client leaves first. */
     void request(Request request, FullHttpRequest message, Client client) {
         figures.taken();
-        Open o = new Open(request, message, client, now());
+        String className = facts.classes().get(request.classIndex());
+        Open o = new Open(request, className, limits, message, client, now());
         if (limits.maxOpen() > 0 && open.size() >= limits.maxOpen()) {
             message.release();
             count(o, Ending.DROPPED);
@@ -247,7 +262,7 @@
         if (how == null) {
             figures.abandoned();
         } else {
-            figures.ended(facts.classes().get(o.request.classIndex()), how);
+            figures.ended(o.className, how);
         }
     }
 
@@ -263,8 +278,8 @@
     @Override public void send(String id, String upstream, long timeout) {
         long now = now();
         Open o = open.get(id);
-        if (o == null || o.concluded || o.attempts.size() >= limits.maxAttempts() || o.deadline <= now
-                || o.outstanding() && !limits.secondCopies()) {
+        if (o == null || o.concluded || o.attempts.size() >= o.limits.maxAttempts() || o.deadline <= now
+                || o.outstanding() && !o.limits.secondCopies()) {
             int attempt = o == null ? 0 : o.attempts.size();
             if (o != null) {
                 Attempt never = new Attempt(upstream, now);
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer;
+import yewyoke.adapter.BadInput;
 import yewyoke.ops.Figures;
 
 /**
@@ -28,7 +29,7 @@
     private final EventLoop loop;
     private final Path file;
     private final Figures figures;
-    private final Config config;
+    private Config config;
     private final Twin twin;
     private final Upstreams upstreams;
     private final Driver driver;
@@ -90,12 +91,22 @@
         return server;
     }
 
-    /** Reads the configuration again: discovery may have moved. A file that can't be read changes nothing. */
+    /**
+     * Reads the configuration again. All of it is checked before anything changes, and then discovery and the
+     * settings change together; addresses and limits are those of the start.
+     */
     void reload() {
         try {
-            discovery.move(Config.read(file).discovery());
+            Config next = Config.read(file).after(config);
+            config = next;
+            var limits = next.facts().settings().limits();
+            upstreams.times(limits.connectTimeout(), limits.connectIdle());
+            server.settings(next.facts());
+            driver.settings(next.facts());
+            discovery.move(next.discovery());
             figures.loaded(true);
-        } catch (Exception e) {
+            LOG.log(System.Logger.Level.INFO, "took the new configuration");
+        } catch (IOException | BadInput | RuntimeException e) {
             figures.loaded(false);
             LOG.log(System.Logger.Level.WARNING, "kept the old configuration: " + Main.firstLine(e));
         }
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -45,7 +45,7 @@
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final long idleNanos;
+    private long idleNanos;
     private int maxConnections;
     private final Map<String, Server> servers = new HashMap<>();
     private int connections;
@@ -53,15 +53,14 @@
     Upstreams(EventLoop loop, long connectTimeoutMicros, long connectIdleMicros, int maxConnections) {
         this.loop = loop;
         this.maxConnections = maxConnections;
-        this.idleNanos = (long) (connectIdleMicros * 1_000 * IDLE_PART);
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMicros / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         prepare(channel);
                     }
                 });
+        times(connectTimeoutMicros, connectIdleMicros);
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -118,6 +117,13 @@
         }
     }
 
+    /** How long to wait for a connection, and after how much idling an upstream closes one. */
+    void times(long connectTimeoutMicros, long connectIdleMicros) {
+        int timeout = (int) Math.max(1, connectTimeoutMicros / 1_000);
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout);
+        idleNanos = (long) (connectIdleMicros * 1_000 * IDLE_PART);
+    }
+
     /** From now on there may be so many connections; idle ones beyond that are closed. */
     void limit(int most) {
         maxConnections = most;
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -757,4 +757,51 @@
         e = assertThrows(IllegalArgumentException.class, () -> Host.of(config));
         assertTrue(e.getMessage().contains("groupSize"));
     }
+
+    // New settings
+
+    @Test
+    void openRequestKeepsItsClassAndLimitsUnderNewSettings() {
+        Host h = Host.of(config).list(3);
+        String old = h.request(2, SECOND); // unsafe
+        config.attempts = 1;
+        Balancer.Settings next = config.settings();
+        List<Balancer.RequestClass> classes = new ArrayList<>(next.classes());
+        java.util.Collections.reverse(classes); // the place of the unsafe class is now that of the safe one
+        h.balancer.settings(h.now, new Balancer.Settings(next.zone(), next.zones(), next.position(),
+                next.groupSize(), classes, next.tenants(), next.overShareWorth(), next.worthByWork(),
+                next.limits(), next.rules(), next.prices(), next.reports(), next.ratings(), next.askForList(),
+                next.warmKeys(), next.tick()));
+        String since = h.request(2, SECOND); // safe now, one attempt
+        h.end(old, Outcome.FULL, MILLI, null);
+        assertEquals(2, h.sends.get(old).size(), "four attempts, as when it came");
+        h.end(old, Outcome.RESET, MILLI, null);
+        assertTrue(h.failed.contains(old), "unsafe, as when it came");
+        h.end(since, Outcome.FULL, MILLI, null);
+        assertEquals(1, h.sends.get(since).size());
+        assertTrue(h.refused.contains(since));
+    }
+
+    @Test
+    void badSettingsLeaveTheOldOnes() {
+        Host h = Host.of(config).list(3);
+        config.attempts = 0;
+        assertThrows(IllegalArgumentException.class, () -> h.balancer.settings(h.now, config.settings()));
+        String id = h.request(0, SECOND);
+        h.end(id, Outcome.FULL, MILLI, null);
+        assertEquals(2, h.sends.get(id).size());
+    }
+
+    @Test
+    void ejectedUpstreamIsSkippedUnlessTooManyAre() {
+        Host h = Host.of(config).list(4);
+        assertEquals(0, h.balancer.skipped(h.now));
+        h.change(Host.up(3, State.DRAINING, 0));
+        assertEquals(1, h.balancer.skipped(h.now));
+        String id = h.request(0, SECOND);
+        h.end(id, Outcome.CONNECT_FAILED, MILLI, null);
+        assertEquals(2, h.balancer.skipped(h.now));
+        h.change(Host.up(3, State.GONE, 0));
+        assertEquals(1, h.balancer.skipped(h.now));
+    }
 }
--- a/src/test/java/yewyoke/Host.java
+++ b/src/test/java/yewyoke/Host.java
@@ -64,17 +64,18 @@
         boolean stream;
         long tick = 5 * MILLI;
         double lateWorth = 0.5;
+        int attempts = 4;
         List<Tenant> tenants = List.of();
         Scope scope = Scope.ZONE;
 
         Settings settings() {
             List<RequestClass> classes = new ArrayList<>();
             for (Effect e : Effect.values()) {
-                classes.add(new RequestClass(SECOND / 2, 0, 2 * SECOND, 1 + e.ordinal(), lateWorth, e, scope,
-                        SECOND, stream));
+                classes.add(new RequestClass(e.name(), SECOND / 2, 0, 2 * SECOND, 1 + e.ordinal(), lateWorth,
+                        e, scope, SECOND, stream));
             }
             return new Settings(0, zones, position, group, classes, tenants, 0.2, true,
-                    new Limits(4, secondCopies, probes, cancel, peers, 20_000, false, 0, SECOND / 4, 10
+                    new Limits(attempts, secondCopies, probes, cancel, peers, 20_000, false, 0, SECOND / 4, 10
                     * SECOND, 1),
                     new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
                     new Prices(crossZone, 0.1, probePrice, 0.01, 0.05, 0), reports, ratings, ask,
--- a/src/test/java/yewyoke/node/ReloadTest.java
+++ b/src/test/java/yewyoke/node/ReloadTest.java
@@ -10,10 +10,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import yewyoke.node.Sockets.Client;
 import yewyoke.node.Sockets.Message;
+import yewyoke.node.Sockets.Script;
 import yewyoke.node.Sockets.Server;
 
 /** New configurations under load: discovery moves, and what it has to tell is heard. */
@@ -61,6 +65,89 @@
         assertTrue(discovery.ended.isEmpty());
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "1-less", "\"listen\" -> \"x\"", "\"known\" -> \"x\"",
+        "\"seed\" -> \"x\"", "\"ceilings\" -> \"x\"", "\"try-limit\":4 -> \"x\":4",
+        "\"try-limit\":4 -> \"try-limit\":0", "\"give-up-s\":20 -> \"give-up-s\":0",
+        "\"give-up-s\":20 -> \"give-up-s\":-1", "\"give-up-s\":20 -> \"x\":20",
+        "\"aim-s\":1 -> \"aim-s\":0",
+        "\"repeat\":\"free\" -> \"repeat\":\"x\"", "\"repeat\" -> \"x\"",
+        "\"name\":\"look\" -> \"name\":\"\"",
+        "\"name\":\"look\" -> \"name\":\"submit\"", "\"seed\":\"8 -> \"seed\":\"z", "\"n\" -> \"n\"}}",
+        "\"listen\":\"127.0.0.1:0\" -> \"listen\":null"})
+    void fileThatIsBrokenAnywhereChangesNothing(String change) throws Exception {
+        Server discovery = telling(list(42, false));
+        Server elsewhere = server(HANG);
+        start(ready(server(SERVE)), discovery);
+        Path file = folder.resolve("config.json");
+        String good = Files.readString(file).replace(discovery.addr(), elsewhere.addr());
+        String broken = change;
+        if (change.equals("1-less")) {
+            broken = good.substring(0, good.length() - 1);
+        } else if (change.contains(" -> ")) {
+            String[] parts = change.split(" -> ");
+            assertTrue(good.contains(parts[0]), change);
+            broken = change.endsWith("}}") ? good + "}" : good.replace(parts[0], parts[1]);
+        }
+        Files.writeString(file, broken);
+        group.next().submit(() -> running.reload()).sync();
+        assertTrue(figures.text().contains("app.load_errors:1|c"), figures.text());
+        assertTrue(figures.text().contains("app.loads:0|c"), figures.text());
+        assertEquals(200, client().write(submit()).read().status());
+        Sockets.next(discovery.requests);
+        assertTrue(elsewhere.accepted.isEmpty(), "discovery has not moved");
+        Files.writeString(file, good);
+        group.next().submit(() -> running.reload()).sync();
+        Sockets.next(elsewhere.requests);
+        assertTrue(figures.text().contains("app.loads:1|c"), figures.text());
+    }
+
+    @Test
+    void classesComeAndGo() throws Exception {
+        Server upstream = server(SERVE);
+        start(ready(upstream), server(HANG));
+        assertEquals(400, client().write(request("GET", "book", "900", "")).read().status());
+        reload(serviceClass("submit", "single_shot"), serviceClass("book", "free"));
+        assertEquals(200, client().write(request("GET", "book", "900", "")).read().status());
+        assertEquals(200, client().write(request("GET", "look", "900", "")).read().status());
+        assertEquals(400, client().write(submit()).read().status());
+        assertTrue(figures.text().contains("app.handled.book.passed:1|c"), figures.text());
+        assertTrue(figures.text().contains("app.handled.submit.passed:0|c"), "dropped, but shown");
+    }
+
+    /** In the place of an unsafe class stands a safe one: the open request is not sent again for that. */
+    @Test
+    void openRequestKeepsTheClassItCameUnder() throws Exception {
+        CountDownLatch reloaded = new CountDownLatch(1);
+        Script late = (m, s) -> {
+            reloaded.await();
+            Sockets.reset(s);
+        };
+        Server one = server(late);
+        Server two = server(late);
+        start(one, two);
+        Client client = client().write(submit());
+        while (one.requests.isEmpty() && two.requests.isEmpty()) {
+            Thread.onSpinWait();
+        }
+        reload(serviceClass("submit", "single_shot"), serviceClass("book", "free"));
+        reloaded.countDown();
+        assertFailed(client.read());
+        assertEquals(1, one.requests.size() + two.requests.size());
+        assertTrue(figures.text().contains("app.handled.submit.bad_gateway:1|c"), figures.text());
+        assertTrue(figures.text().contains("app.handled.book.bad_gateway:0|c"), figures.text());
+    }
+
+    @Test
+    void attemptsGetFewerForRequestsToCome() throws Exception {
+        Script full = (m, s) -> Sockets.answer(s, "503 Service Unavailable", "X-Unprocessed: 1\r\n", "");
+        Server upstream = server(full);
+        start(upstream);
+        reload("\"try-limit\":4", "\"try-limit\":1");
+        assertEquals(503, client().write(request("POST", "submit", "500", "")).read().status());
+        assertEquals(1, upstream.requests.size());
+    }
+
     /** Clients can't have other connections before the restart: to close theirs early was an outage. */
     @Test
     void plannedStopGoesOnServingThoseThatHaveConnections() throws Exception {
