Stream bodies over 64 KiB both ways, with back-pressure

Design: a body up to 64 KiB is held whole and may be sent again; of a larger one the bytes go through as they come, a side that can't take more holds the other one back, and nothing that was passed on is sent again. A large answer is its client's from the first bytes on; no deadline cuts it off, and one that breaks is seen to break. The time of a large request counts from its last byte. The module is told of a request that is still arriving and of an answer that has opened: neither takes up room at an upstream. Rejected: spooling to files, which count as memory; and the library's aggregator with a higher limit, since a few bodies of 32 MB would fill all memory.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -64,6 +64,7 @@
     private static final double COLD_CARE = 0.2; // of our share of a cold upstream's budget: much is unseen
     private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
     private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
+    private static final long LONGEST_BODY = 600_000_000; // a request that is still arriving has so long
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final Actions out;
@@ -180,7 +181,7 @@
     private static final class Try {
         final Up up;
         final long sentAt;
-        boolean limited, outstanding = true, mayHaveRun = true;
+        boolean limited, outstanding = true, mayHaveRun = true, counted;
         double line;
 
         Try(Up up, long sentAt) {
@@ -194,12 +195,12 @@
         final Lane lane;
         final Limits limits;
         final RequestClass cls;
-        final long number, arrivedAt, deadline;
-        long aimAt;
+        final long number;
+        long arrivedAt, deadline, aimAt;
         final List<Try> tries = new ArrayList<>(1);
         double cost, value;
         Up home;
-        boolean ended, streaming, waiting, late;
+        boolean ended, streaming, waiting, late, arriving;
 
         Req(Request request, Lane lane, Limits limits, long number, long now) {
             this.request = request;
@@ -207,10 +208,14 @@
             this.limits = limits;
             this.cls = lane.cls;
             this.number = number;
-            this.arrivedAt = now;
-            this.deadline = now + request.timeLeft();
+            countFrom(now);
+        }
+
+        void countFrom(long now) {
+            arrivedAt = now;
+            deadline = now + request.timeLeft();
             long aim = cls.aim() + (long) (cls.aimStretch() * request.expectedWork());
-            this.aimAt = Math.min(deadline, now + aim);
+            aimAt = Math.min(deadline, now + aim);
         }
 
         /** The first attempt that may have run; one still out may have. */
@@ -447,7 +452,7 @@
         double sum = 0;
         for (int i = 0; i < scores.length; i++) {
             Up up = candidates.get(i);
-            if (!mayTake(up, r, now, panic) || !pressing && !hasRoom(up, r, now)) {
+            if (!mayTake(up, r, now, panic) || !pressing && !r.arriving && !hasRoom(up, r, now)) {
                 continue;
             }
             double preference = rating(up) * warmth(up, now) * Math.pow(1 - up.errors, 2) * zoneFactor(up)
@@ -562,15 +567,31 @@
         }
         Try t = new Try(up, now);
         r.tries.add(t);
-        up.inFlight++;
-        t.limited = up.inFlight + others(up, now) + 1 > up.limit;
-        up.workInFlight += r.cost;
+        if (!r.arriving) {
+            count(r, t, now);
+        }
         up.tokens -= coldCharge(r);
         out.send(r.request.id(), up.id, 0);
         t.line = loadUnits(up) + others(up, now);
         tell(up, now);
     }
 
+    /** From now on the upstream works on it. */
+    private void count(Req r, Try t, long now) {
+        t.counted = true;
+        t.up.inFlight++;
+        t.limited = t.up.inFlight + others(t.up, now) + 1 > t.up.limit;
+        t.up.workInFlight += r.cost;
+    }
+
+    private void uncount(Req r, Try t) {
+        if (t.counted) {
+            t.counted = false;
+            t.up.inFlight--;
+            t.up.workInFlight -= r.cost;
+        }
+    }
+
     @Override public void outcome(long now, AttemptEnd end) {
         learn(byId.get(end.upstream()), end.load(), now);
         Req r = open.get(end.request());
@@ -581,9 +602,10 @@
         if (t.outstanding) {
             t.outstanding = false;
             t.mayHaveRun = !end.outcome().neverRan;
-            t.up.inFlight--;
-            t.up.workInFlight -= r.cost;
-            noteOutcome(t.up, r, t, end, now);
+            uncount(r, t);
+            if (!r.streaming || r.cls.stream() || end.outcome() != Outcome.OK) {
+                noteOutcome(t.up, r, t, end, now);
+            }
             tell(t.up, now);
         }
         if (end.concluded()) {
@@ -640,8 +662,18 @@
     }
 
     @Override public void opened(long now, String request, int attempt) {
-        if (open.containsKey(request)) {
-            open.get(request).streaming = true;
+        Req r = open.get(request);
+        if (r == null) {
+            return;
+        }
+        r.streaming = true;
+        if (!r.cls.stream() && attempt >= 0 && attempt < r.tries.size()) {
+            // A large answer: what is left is its way to the client, and that takes up no upstream.
+            Try t = r.tries.get(attempt);
+            uncount(r, t);
+            noteOutcome(t.up, r, t, new AttemptEnd(request, attempt, t.up.id, Outcome.OK,
+                    now - Math.max(t.sentAt, r.arrivedAt), false, null), now);
+            pump(now);
         }
     }
 
@@ -653,10 +685,33 @@
 
     // ---- Admission and load shedding -----------------------------------------------------------------
 
-    @Override public void request(long now, Request request) {
+    @Override public void request(long now, Request request) { take(now, request, false); }
+
+    @Override public void arriving(long now, Request request) { take(now, request, true); }
+
+    @Override public void received(long now, String request) {
+        Req r = open.get(request);
+        if (r == null || r.ended || !r.arriving) {
+            return;
+        }
+        byDeadline.remove(r);
+        r.arriving = false;
+        r.countFrom(now);
+        byDeadline.add(r);
+        r.tries.stream().filter(t -> t.outstanding).forEach(t -> count(r, t, now));
+        pump(now);
+        expire(now);
+    }
+
+    private void take(long now, Request request, boolean arriving) {
         Lane lane = lanes[request.classIndex()];
         Req r = new Req(request, lane, settings.limits(), requestNumber++, now);
         double typical = lane.took;
+        if (arriving) {
+            r.arriving = true;
+            r.deadline = now + LONGEST_BODY;
+            r.aimAt = r.deadline;
+        }
         if (request.retry()) {
             // Its aim runs from the first try, and a refusal is what mostly lies behind it.
             r.aimAt -= (long) lane.refusedAfter;
--- a/src/main/java/yewyoke/Balancer.java
+++ b/src/main/java/yewyoke/Balancer.java
@@ -28,6 +28,15 @@
     /** A client's request has arrived; one final answer is owed from here on. */
     void request(long now, Request request);
 
+    /**
+     * The beginning of a request whose body is still on its way. It takes up no upstream and no time before
+     * {@link #received}, and what was passed on of it can't be sent again.
+     */
+    void arriving(long now, Request request);
+
+    /** All of such a request has come: from now on its time counts, and upstreams work on it. */
+    void received(long now, String request);
+
     /** The end of one attempt. */
     void outcome(long now, AttemptEnd end);
 
--- a/src/main/java/yewyoke/node/AnswerDecoder.java
+++ b/src/main/java/yewyoke/node/AnswerDecoder.java
@@ -1,6 +1,7 @@
 package yewyoke.node;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
@@ -10,9 +11,16 @@
  * behind an answer. Left in the decoder, they were taken for the answer to the next request.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
+    /** Fewer and larger pieces: each costs a write towards the client. */
+    private static final int PIECE = 32 * 1024;
+
     private boolean owed;
     private boolean surplus;
 
+    AnswerDecoder() {
+        super(new HttpDecoderConfig().setMaxChunkSize(PIECE));
+    }
+
     /** A request goes out on this connection. */
     void expect() {
         owed = true;
--- /dev/null
+++ b/src/main/java/yewyoke/node/Body.java
@@ -0,0 +1,145 @@
+package yewyoke.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * The body of a request on its way from a client to an upstream. A small one is held whole and can be sent
+ * again. Of a larger one only the beginning is held until it is passed on; from then on the bytes that come
+ * go through, and there is one attempt that can have them.
+ */
+final class Body {
+    /** The largest body that is always held whole. */
+    static final int SMALL = 64 * 1024;
+    /** The largest body of all. */
+    static final long MOST = 32L << 20;
+
+    /** Where the bytes go: one attempt. */
+    interface Sink {
+        void piece(ByteBuf bytes);
+
+        /** That was all. */
+        void end();
+
+        /** Whether more can go that way now without piling up. */
+        boolean isWritable();
+    }
+
+    private final long length;
+    private final Runnable room;
+    /** A copy: clients that write byte by byte would have each byte hold on to a whole read. */
+    private ByteBuf held = Unpooled.EMPTY_BUFFER;
+    private long came;
+    private boolean whole = true;
+    private boolean ended;
+    private boolean released;
+    private Sink sink;
+
+    /** {@code length} is -1 if it is not known yet; {@code room} is told of room for more. */
+    Body(long length, Runnable room) {
+        this.length = length;
+        this.room = room;
+    }
+
+    /** One that is there already, and empty. */
+    static Body empty() {
+        Body body = new Body(0, () -> { });
+        body.ended = true;
+        return body;
+    }
+
+    /** Takes over the next bytes. */
+    void add(ByteBuf bytes) {
+        came += bytes.readableBytes();
+        if (released) {
+            bytes.release(); // nobody wants them any more
+            return;
+        }
+        if (whole) {
+            held = held == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(bytes.readableBytes()) : held;
+            held.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        }
+        if (sink != null) {
+            sink.piece(bytes);
+        } else {
+            bytes.release();
+        }
+        passOn();
+    }
+
+    void end() {
+        ended = true;
+        if (sink != null) {
+            sink.end();
+        }
+    }
+
+    /** Gives an attempt all that there is, and from now on all that comes. */
+    void to(Sink next) {
+        sink = next;
+        if (held.isReadable()) {
+            next.piece(content());
+        }
+        passOn();
+        if (ended) {
+            next.end();
+        }
+        room.run();
+    }
+
+    /** The attempt is over. */
+    void leave(Sink old) {
+        if (sink == old) {
+            sink = null;
+        }
+    }
+
+    /** An attempt can take more. */
+    void drained() {
+        room.run();
+    }
+
+    private void passOn() {
+        if (came > SMALL && sink != null) {
+            whole = false;
+            held = Unpooled.EMPTY_BUFFER;
+        }
+    }
+
+    /** All bytes that are held. */
+    ByteBuf content() {
+        return held.retainedDuplicate();
+    }
+
+    /** Whether all that has come is still held: only then may there be a further attempt. */
+    boolean isWhole() {
+        return whole && !released;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** How many bytes have come. */
+    long came() {
+        return came;
+    }
+
+    /** How many bytes there will be, -1 if that is not known. */
+    long length() {
+        return ended ? came : length;
+    }
+
+    /** Whether there is room for more; without, the client has to wait. */
+    boolean wantsMore() {
+        return released || (sink == null ? came <= SMALL : sink.isWritable());
+    }
+
+    /** Nothing of this is needed any more; what may still come is dropped. */
+    void release() {
+        released = true;
+        sink = null;
+        held = Unpooled.EMPTY_BUFFER;
+        room.run();
+    }
+}
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -1,15 +1,12 @@
 package yewyoke.node;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +27,7 @@
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.Request;
 import yewyoke.adapter.SettingsReader;
+import yewyoke.node.Upstreams.Answer;
 import yewyoke.ops.Figures;
 import yewyoke.ops.Figures.Ending;
 
@@ -44,6 +42,8 @@
     private static final long PROBE_TIMEOUT_MS = 500;
     /** How long to wait for a list from discovery before serving from the one held before the start. */
     private static final long TRUST_KNOWN_MS = 1_000;
+    /** So long a body may be on its way; how fast it has to come is for the side that reads it. */
+    private static final long LONGEST_BODY_MS = 600_000;
     /** How often operators get to see another number of upstreams. */
     private static final long FLEET_MS = 100;
 
@@ -75,9 +75,12 @@
     }
 
     /** Where the one final answer of a request goes. */
-    interface Client {
+    interface Client extends Upstreams.Download {
         void served(ByteBuf body);
 
+        /** Served with an answer too large to be held, whose pieces follow; {@code length} -1 is not told. */
+        void serving(long length);
+
         /** Refused; {@code retryAfter} is in microseconds, 0 for no advice. */
         void refused(long retryAfter);
 
@@ -90,21 +93,26 @@
         /** As of its arrival: new settings may have another class in its place, and other limits. */
         final String className;
         final Limits limits;
-        final FullHttpRequest message;
+        final HttpRequest message;
+        final Body body;
         final Client client;
+        /** Counted from the last byte of the request: until that has come it lies far ahead. */
         long deadline;
         final List<Attempt> attempts = new ArrayList<>(1);
         ScheduledFuture<?> atDeadline;
         boolean concluded;
+        /** Its client is being served by an attempt that can't be taken back. */
+        boolean streaming;
 
-        Open(Request request, String className, Limits limits, FullHttpRequest message, Client client,
-                long now) {
+        Open(Request request, String className, Limits limits, HttpRequest message, Body body,
+                Client client, long deadline) {
             this.request = request;
             this.className = className;
             this.limits = limits;
             this.message = message;
+            this.body = body;
             this.client = client;
-            this.deadline = now + request.timeLeft();
+            this.deadline = deadline;
         }
 
         boolean outstanding() {
@@ -118,11 +126,16 @@
         final long sentAt;
         Upstreams.Exchange exchange;
         ScheduledFuture<?> timeout;
+        /** When it was written, and when its answer began: the time of a body is not the upstream's. */
+        long writtenAt;
+        long openedAt;
+        boolean streams;
         boolean ended;
 
         Attempt(String upstream, long sentAt) {
             this.upstream = upstream;
             this.sentAt = sentAt;
+            this.writtenAt = sentAt;
         }
     }
 
@@ -204,20 +217,43 @@
         return open.containsKey(id);
     }
 
-    /** Takes a request and its message; exactly one answer follows unless the client leaves first. */
-    void request(Request request, FullHttpRequest message, Client client) {
+    /**
+     * Takes a request and its message; exactly one answer follows unless the client leaves first. Of a large
+     * body more may follow, and {@link #received} then tells of its end.
+     */
+    void request(Request request, HttpRequest message, Body body, Client client) {
         figures.taken();
         String className = facts.classes().get(request.classIndex());
-        Open o = new Open(request, className, limits, message, client, now());
+        long left = request.timeLeft() + (body.isEnded() ? 0 : LONGEST_BODY_MS * 1_000);
+        Open o = new Open(request, className, limits, message, body, client, now() + left);
         if (limits.maxOpen() > 0 && open.size() >= limits.maxOpen()) {
-            message.release();
+            body.release();
             count(o, Ending.DROPPED);
             client.refused(0);
             return;
         }
         open.put(request.id(), o);
-        o.atDeadline = loop.schedule(() -> overdue(o), request.timeLeft(), TimeUnit.MICROSECONDS);
-        event(() -> balancer.request(now(), request));
+        expireIn(o, left);
+        if (body.isEnded()) {
+            event(() -> balancer.request(now(), request));
+        } else {
+            event(() -> balancer.arriving(now(), request));
+        }
+    }
+
+    private void expireIn(Open o, long left) {
+        o.deadline = now() + left;
+        o.atDeadline = loop.schedule(() -> overdue(o), left, TimeUnit.MICROSECONDS);
+    }
+
+    /** All of a request's body has come: from now on its time counts. */
+    void received(String id) {
+        Open o = open.get(id);
+        if (o != null && !o.concluded && !o.streaming) {
+            o.atDeadline.cancel(false);
+            expireIn(o, o.request.timeLeft());
+            event(() -> balancer.received(now(), id));
+        }
     }
 
     /** The client has closed its connection. */
@@ -225,24 +261,35 @@
         Open o = open.get(id);
         if (o != null && !o.concluded) {
             conclude(o, null);
+            if (o.streaming || !o.body.isEnded()) {
+                endAll(o, Outcome.CANCELLED); // the module may let attempts run, but these can't
+            }
             event(() -> balancer.clientGone(now(), id));
         }
     }
 
     /** At the deadline: ends what is out, and answers if the module, told of that, does not. */
     private void overdue(Open o) {
-        for (int i = 0; i < o.attempts.size(); i++) {
-            giveUp(o, i, Outcome.TIMEOUT);
-        }
+        endAll(o, Outcome.TIMEOUT);
         event(() -> {
             if (!o.concluded) {
                 conclude(o, Ending.BAD_GATEWAY);
-                o.client.failed();
+                if (o.streaming) {
+                    o.client.end(false);
+                } else {
+                    o.client.failed();
+                }
                 balancer.clientGone(now(), o.request.id());
             }
         });
     }
 
+    private void endAll(Open o, Outcome outcome) {
+        for (int i = 0; i < o.attempts.size(); i++) {
+            giveUp(o, i, outcome);
+        }
+    }
+
     /** A planned stop has run out of time: whatever is still open gets its answer while it can. */
     void failAll() {
         for (Open o : List.copyOf(open.values())) {
@@ -269,7 +316,7 @@
     private void forgetIfDone(Open o) {
         if (o.concluded && !o.outstanding() && open.remove(o.request.id(), o)) {
             o.atDeadline.cancel(false);
-            o.message.release();
+            o.body.release();
         }
     }
 
@@ -279,7 +326,7 @@
         long now = now();
         Open o = open.get(id);
         if (o == null || o.concluded || o.attempts.size() >= o.limits.maxAttempts() || o.deadline <= now
-                || o.outstanding() && !o.limits.secondCopies()) {
+                || o.outstanding() && !o.limits.secondCopies() || !o.body.isWhole()) {
             int attempt = o == null ? 0 : o.attempts.size();
             if (o != null) {
                 Attempt never = new Attempt(upstream, now);
@@ -294,26 +341,58 @@
         Attempt attempt = new Attempt(upstream, now);
         o.attempts.add(attempt);
         long left = timeout == 0 ? o.deadline - now : Math.max(0, Math.min(timeout, o.deadline - now));
-        attempt.exchange = upstreams.start(upstream, forward(o.message, left),
-                new Upstreams.Listener() {
-                    @Override public void ended(Outcome outcome, FullHttpResponse answer) {
-                        Driver.this.ended(o, number, outcome, answer);
-                    }
-
-                    @Override public void written() {
-                        figures.tried();
-                    }
-                });
+        attempt.exchange = upstreams.start(upstream, forward(o, left), o.body, new Upstreams.Listener() {
+            @Override public void ended(Outcome outcome, Answer answer) {
+                Driver.this.ended(o, number, outcome, answer);
+            }
+
+            @Override public void written() {
+                attempt.writtenAt = now();
+                figures.tried();
+            }
+
+            @Override public void began() {
+                attempt.openedAt = now();
+            }
+
+            @Override public Upstreams.Download opened(long length) {
+                return Driver.this.opened(o, number, length);
+            }
+        });
         if (now + left < o.deadline) {
             attempt.timeout = loop.schedule(() -> giveUp(o, number, Outcome.TIMEOUT), left,
                     TimeUnit.MICROSECONDS);
         }
     }
 
-    private static FullHttpRequest forward(FullHttpRequest message, long left) {
-        HttpHeaders head = RequestCheck.forwarded(message).set(RequestCheck.TIME_LEFT, left / 1_000);
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(),
-                message.content().retainedDuplicate(), head, EmptyHttpHeaders.INSTANCE);
+    private static HttpRequest forward(Open o, long left) {
+        long told = Math.min(left, o.request.timeLeft());
+        HttpHeaders head = RequestCheck.forwarded(o.message, o.body);
+        head.set(RequestCheck.TIME_LEFT, told / 1_000);
+        String target = RequestCheck.target(o.message);
+        return new DefaultHttpRequest(HttpVersion.HTTP_1_1, o.message.method(), target, head);
+    }
+
+    /** A large answer begins; from here on it is its client's, and no deadline cuts it off. */
+    private Upstreams.Download opened(Open o, int number, long length) {
+        if (o.concluded || o.streaming) {
+            return null;
+        }
+        o.streaming = true;
+        o.atDeadline.cancel(false);
+        Attempt attempt = o.attempts.get(number);
+        attempt.streams = true;
+        if (attempt.timeout != null) {
+            attempt.timeout.cancel(false);
+        }
+        event(() -> balancer.opened(now(), o.request.id(), number));
+        for (int i = 0; i < o.attempts.size(); i++) {
+            if (i != number) {
+                giveUp(o, i, Outcome.CANCELLED);
+            }
+        }
+        o.client.serving(length);
+        return o.client;
     }
 
     private void giveUp(Open o, int number, Outcome outcome) {
@@ -324,19 +403,21 @@
         }
     }
 
-    private void ended(Open o, int number, Outcome outcome, FullHttpResponse answer) {
+    private void ended(Open o, int number, Outcome outcome, Answer answer) {
         Attempt attempt = o.attempts.get(number);
         attempt.ended = true;
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
         }
-        if (outcome == Outcome.OK && !o.concluded) {
+        if (attempt.streams && !o.concluded) {
+            conclude(o, outcome == Outcome.OK ? Ending.PASSED : Ending.BAD_GATEWAY);
+        } else if (outcome == Outcome.OK && !o.concluded) {
             conclude(o, Ending.PASSED);
-            o.client.served(answer.content().retain());
+            o.client.served(answer.body());
         }
-        LoadReport load = answer == null ? null : load(answer.headers().get("X-Backend-Load"));
+        LoadReport load = answer == null ? null : load(answer.head().headers().get("X-Backend-Load"));
         forgetIfDone(o);
-        long took = now() - attempt.sentAt;
+        long took = Math.max(0, (attempt.openedAt > 0 ? attempt.openedAt : now()) - attempt.writtenAt);
         event(() -> balancer.outcome(now(), new AttemptEnd(o.request.id(), number, attempt.upstream, outcome,
                 took, o.concluded, load)));
     }
@@ -352,7 +433,7 @@
 
     @Override public void refuse(String id, long retryAfter) {
         Open o = open.get(id);
-        if (o != null && !o.concluded) {
+        if (o != null && !o.concluded && !o.streaming) {
             conclude(o, Ending.DROPPED);
             o.client.refused(retryAfter);
         }
@@ -360,7 +441,7 @@
 
     @Override public void fail(String id) {
         Open o = open.get(id);
-        if (o != null && !o.concluded) {
+        if (o != null && !o.concluded && !o.streaming) {
             conclude(o, Ending.BAD_GATEWAY);
             o.client.failed();
         }
@@ -369,14 +450,13 @@
     // ---- Probes, timers and the rest -----------------------------------------------------------------
 
     @Override public void probe(String upstream) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, LOAD,
-                Unpooled.EMPTY_BUFFER);
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, LOAD);
         request.headers().set(HttpHeaderNames.HOST, host);
         ScheduledFuture<?>[] timeout = new ScheduledFuture<?>[1];
-        Upstreams.Exchange exchange = upstreams.start(upstream, request, (outcome, answer) -> {
+        Upstreams.Exchange exchange = upstreams.start(upstream, request, Body.empty(), (outcome, answer) -> {
             timeout[0].cancel(false);
             LoadReport load = outcome != Outcome.OK ? null
-                    : load(answer.content().toString(StandardCharsets.US_ASCII));
+                    : load(answer.body().toString(StandardCharsets.US_ASCII));
             event(() -> balancer.probed(now(), upstream, outcome, load));
         });
         timeout[0] = loop.schedule(() -> {
--- a/src/main/java/yewyoke/node/RequestCheck.java
+++ b/src/main/java/yewyoke/node/RequestCheck.java
@@ -1,10 +1,11 @@
 package yewyoke.node;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.AsciiString;
@@ -41,7 +42,7 @@
     }
 
     /** The request as the module takes it; complains of the first thing that is not of the protocol. */
-    Request request(FullHttpRequest message, QueryStringDecoder uri) throws BadInput {
+    Request request(HttpRequest message, QueryStringDecoder uri, boolean hasBody) throws BadInput {
         HttpHeaders headers = message.headers();
         for (AsciiString name : FORWARDED) {
             require(headers.getAll(name).size() <= 1, name);
@@ -57,7 +58,7 @@
         RequestClass requestClass = facts.settings().classes().get(cls);
         Effect effect = requestClass.effect();
         require(message.method().equals(effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST), "method");
-        require(effect != Effect.SAFE || !message.content().isReadable(), "body");
+        require(effect != Effect.SAFE || !hasBody, "body");
         // Without the key upstreams couldn't drop a repeat; with one it is the client that is mistaken.
         require(headers.contains(KEY) == (effect == Effect.KEYED), KEY);
         if (effect == Effect.KEYED) {
@@ -75,7 +76,7 @@
     }
 
     /** The head for an upstream: a wish of the client for its own connection, say, is none for ours. */
-    static HttpHeaders forwarded(FullHttpRequest message) {
+    static HttpHeaders forwarded(HttpRequest message, Body body) {
         HttpHeaders head = new DefaultHttpHeaders();
         for (AsciiString name : FORWARDED) {
             String value = message.headers().get(name);
@@ -84,11 +85,23 @@
             }
         }
         if (message.method().equals(HttpMethod.POST)) {
-            head.set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+            if (body.length() < 0) {
+                head.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            } else {
+                head.set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+            }
         }
         return head;
     }
 
+    /** The request's target by path and query, also where the client has named the host with it. */
+    static String target(HttpRequest message) {
+        String uri = message.uri();
+        int host = uri.startsWith("http://") ? "http://".length() : -1;
+        int path = host < 0 ? 0 : uri.indexOf('/', host);
+        return path < 0 ? "/" : uri.substring(path);
+    }
+
     private static String word(HttpHeaders headers, AsciiString name) throws BadInput {
         String text = headers.get(name);
         require(text != null && !text.isEmpty() && text.length() <= LONGEST_ID
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -1,6 +1,8 @@
 package yewyoke.node;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,15 +10,21 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -35,9 +43,12 @@
  */
 final class Upstreams {
     private static final System.Logger LOG = System.getLogger(Upstreams.class.getName());
-    /** The largest body of the protocol. */
-    static final int MAX_BODY = 64 * 1024;
+    /** So much may pile up in a connection before whoever fills it has to wait. */
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 48 * 1024);
+    /** An answer of which nothing more comes for so long, though there is room for it, is broken off. */
+    private static final long STALLED_MS = 10_000;
     private static final String NOT_RUN = "X-Unprocessed";
+    private static final int OK = 200;
     private static final int SWITCHING = HttpResponseStatus.SWITCHING_PROTOCOLS.code();
     /** Part of the upstream's idle time after which we drop a connection: never write to a dying one. */
     private static final double IDLE_PART = 0.6;
@@ -65,8 +76,8 @@
     }
 
     private static void prepare(Channel channel) {
-        channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(),
-                new HttpObjectAggregator(MAX_BODY));
+        channel.config().setWriteBufferWaterMark(WATER_MARK);
+        channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder());
     }
 
     /** Takes over a channel that leads to an upstream as an idle connection to it. */
@@ -76,14 +87,39 @@
         connection.keep();
     }
 
-    /** Gets the end of an exchange, exactly once; the answer, if any, is released after the call. */
+    /** Gets the end of an exchange, exactly once. */
     interface Listener {
-        void ended(Outcome outcome, FullHttpResponse answer);
+        void ended(Outcome outcome, Answer answer);
 
         /** The last byte of the request was written. */
         default void written() { }
+
+        /** The head of the answer has come. */
+        default void began() { }
+
+        /**
+         * A good answer has begun that is too large to be held; {@code length} is -1 if it is not told. The
+         * rest goes where this says; null if nobody wants it.
+         */
+        default Download opened(long length) {
+            return null;
+        }
     }
 
+    /** Where a large answer goes, piece by piece, to its end or to where it breaks off. */
+    interface Download {
+        void piece(ByteBuf bytes);
+
+        /** That was all of it, or it ends here and is not {@code whole}. */
+        void end(boolean whole);
+
+        /** Whether more can go that way now; when it can again, {@code resume} is called. */
+        boolean isWritable(Runnable resume);
+    }
+
+    /** A whole answer; its body is empty if that was passed on already. */
+    record Answer(HttpResponse head, ByteBuf body) { }
+
     /** One upstream: where it is, and its idle connections, the last used first. */
     private static final class Server {
         InetSocketAddress addr;
@@ -170,8 +206,8 @@
      * Starts an exchange; takes over the request. The listener is never called from within this call, so that
      * the caller has the exchange in hand before its end.
      */
-    Exchange start(String id, FullHttpRequest request, Listener listener) {
-        Exchange exchange = new Exchange(request, listener);
+    Exchange start(String id, HttpRequest head, Body body, Listener listener) {
+        Exchange exchange = new Exchange(head, body, listener);
         Server server = servers.get(id);
         if (server == null || !server.ready) {
             loop.execute(() -> exchange.end(Outcome.CONNECT_FAILED, null));
@@ -231,15 +267,17 @@
     }
 
     /** One request on its way to an upstream, up to its one end. */
-    final class Exchange {
+    final class Exchange implements Body.Sink {
+        private final HttpRequest head;
+        private final Body body;
         private final Listener listener;
-        private FullHttpRequest request;
         private Channel channel;
         private boolean written;
         private boolean ended;
 
-        private Exchange(FullHttpRequest request, Listener listener) {
-            this.request = request;
+        private Exchange(HttpRequest head, Body body, Listener listener) {
+            this.head = head;
+            this.body = body;
             this.listener = listener;
         }
 
@@ -247,8 +285,21 @@
             channel = connection.channel;
             connection.current = this;
             connection.decoder.expect();
-            FullHttpRequest message = request;
-            request = null;
+            if (body.isEnded() && body.isWhole()) {
+                last(new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
+                        body.content(), head.headers(), EmptyHttpHeaders.INSTANCE));
+            } else {
+                channel.write(head).addListener(f -> {
+                    if (!f.isSuccess()) {
+                        broken();
+                    }
+                });
+                body.to(this);
+                channel.flush();
+            }
+        }
+
+        private void last(Object message) {
             channel.writeAndFlush(message).addListener(f -> {
                 written = f.isSuccess();
                 if (written) {
@@ -259,6 +310,18 @@
             });
         }
 
+        @Override public void piece(ByteBuf bytes) {
+            channel.writeAndFlush(new DefaultHttpContent(bytes));
+        }
+
+        @Override public void end() {
+            last(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
+        @Override public boolean isWritable() {
+            return channel.isWritable();
+        }
+
         /** The connection is lost. Before the last byte was written the upstream can't have begun. */
         private void broken() {
             channel.close();
@@ -270,36 +333,36 @@
         /** Stops waiting. The socket is closed before this returns: a further attempt is no second copy. */
         void abandon() {
             ended = true;
-            release();
+            body.leave(this);
             if (channel != null) {
                 channel.close();
             }
         }
 
-        private void end(Outcome outcome, FullHttpResponse answer) {
+        private void end(Outcome outcome, Answer answer) {
             if (!ended) {
                 ended = true;
-                release();
+                body.leave(this);
                 listener.ended(outcome, answer);
             }
         }
-
-        private void release() {
-            if (request != null) {
-                request.release();
-                request = null;
-            }
-        }
     }
 
     /** A connection that is up. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Server server;
         private final Channel channel;
         private final AnswerDecoder decoder;
         private Exchange current;
-        /** The whole answer to the current request, until the read that brought it has ended. */
-        private FullHttpResponse answer;
+        /** The head of the final answer to the current request, and so much of the body as is held. */
+        private HttpResponse head;
+        private boolean interim;
+        private ByteBuf held = Unpooled.EMPTY_BUFFER;
+        private long came;
+        private Download download;
+        private long cameAt;
+        /** The answer is whole; it is handed on when the read that brought it has ended. */
+        private boolean whole;
         private long idleSince;
 
         Connection(Server server, Channel channel) {
@@ -309,27 +372,124 @@
             channel.pipeline().addLast(this);
         }
 
-        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse message) {
-            if (current == null || answer != null) {
+        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (current == null || whole) {
                 return; // Surplus: the decoder has noticed, and the end of this read closes the connection.
             }
-            if (message.decoderResult().isFailure() || message.protocolVersion().majorVersion() != 1
-                    || message.status().code() == SWITCHING || !channel.isActive()) {
-                // Spoilt, or cut short: one that only the end of the connection ends can't be told from that.
-                Exchange exchange = current;
-                current = null;
-                channel.close();
-                exchange.end(Outcome.RESET, null);
-            } else if (message.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                // An interim answer is passed over: the final one follows.
+            boolean bad = part.decoderResult().isFailure();
+            if (bad || part instanceof HttpResponse response && !begin(response)) {
+                spoilt();
+            } else if (part instanceof HttpContent content) {
+                if (!interim) {
+                    body(content);
+                }
+                interim &= !(part instanceof LastHttpContent);
+            }
+        }
+
+        /** Whether the head of an answer can be trusted. Interim answers are passed over. */
+        private boolean begin(HttpResponse response) {
+            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            head = interim ? null : response;
+            if (!interim) {
+                current.listener.began();
+            }
+            try {
+                return response.protocolVersion().majorVersion() == 1 && response.status().code() != SWITCHING
+                        && HttpUtil.getContentLength(response, -1L) <= Body.MOST;
+            } catch (NumberFormatException e) {
+                return false;
+            }
+        }
+
+        private void body(HttpContent content) {
+            came += content.content().readableBytes();
+            cameAt = System.nanoTime();
+            boolean last = content instanceof LastHttpContent;
+            if (came > Body.MOST || last && !channel.isActive() && !endsWithItsConnection()) {
+                // More than anything can be, or cut short: only if it was told can the end be told from that.
+                spoilt();
+                return;
+            }
+            if (download == null && head.status().code() == OK && (came > Body.SMALL
+                    || HttpUtil.getContentLength(head, -1L) > Body.SMALL)) {
+                open();
+            }
+            if (download != null) {
+                download.piece(content.content().retain());
+                if (!last && !download.isWritable(this::resume)) {
+                    channel.config().setAutoRead(false);
+                }
+            } else if (current != null && came <= Body.SMALL) {
+                hold(content.content());
+            }
+            if (last && current != null) {
                 decoder.whole();
-                answer = message.retain();
+                whole = true;
+            }
+        }
+
+        private boolean endsWithItsConnection() {
+            return !HttpUtil.isKeepAlive(head) && !HttpUtil.isContentLengthSet(head)
+                    && !HttpUtil.isTransferEncodingChunked(head);
+        }
+
+        private void hold(ByteBuf bytes) {
+            if (bytes.isReadable()) {
+                held = held == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(bytes.readableBytes()) : held;
+                held.writeBytes(bytes);
             }
         }
 
+        private void open() {
+            download = current.listener.opened(HttpUtil.getContentLength(head, -1L));
+            if (download == null) {
+                end(Outcome.CANCELLED);
+                return;
+            }
+            if (held.isReadable()) {
+                download.piece(held);
+                held = Unpooled.EMPTY_BUFFER;
+            }
+            loop.schedule(this::checkProgress, STALLED_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void checkProgress() {
+            if (download != null && current != null) {
+                long left = STALLED_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - cameAt);
+                if (left <= 0 && channel.config().isAutoRead()) {
+                    spoilt();
+                } else {
+                    loop.schedule(this::checkProgress, Math.max(left, SWEEP_MS), TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+
+        private void resume() {
+            cameAt = System.nanoTime();
+            channel.config().setAutoRead(true);
+        }
+
+        private void spoilt() {
+            end(Outcome.RESET);
+        }
+
+        /** The exchange ends without a whole answer, and with it the connection. */
+        private void end(Outcome outcome) {
+            Exchange exchange = current;
+            Download passed = download;
+            current = null;
+            download = null;
+            channel.close();
+            if (passed != null && !exchange.ended) {
+                passed.end(false);
+            }
+            exchange.end(outcome, null);
+        }
+
         /** Only now is it known what has come right behind an answer. */
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (answer != null) {
+            if (whole && current != null) {
                 finish();
             } else if (decoder.surplus()) {
                 channel.close();
@@ -338,36 +498,52 @@
 
         private void finish() {
             Exchange exchange = current;
-            FullHttpResponse whole = answer;
+            Answer answer = new Answer(head, held);
+            Download passed = download;
             current = null;
-            answer = null;
-            if (exchange.written && !decoder.surplus() && HttpUtil.isKeepAlive(whole) && server.ready
+            head = null;
+            held = Unpooled.EMPTY_BUFFER;
+            came = 0;
+            download = null;
+            whole = false;
+            if (exchange.written && !decoder.surplus() && HttpUtil.isKeepAlive(answer.head) && server.ready
                     && channel.isActive() && server.addr.equals(channel.remoteAddress())) {
                 keep();
             } else {
                 channel.close();
             }
-            exchange.end(outcome(whole), whole);
-            whole.release();
+            if (passed != null && !exchange.ended) {
+                passed.end(true);
+            }
+            exchange.end(outcome(answer.head), answer);
         }
 
         private void keep() {
+            channel.config().setAutoRead(true);
             idleSince = System.nanoTime();
             server.idle.push(this);
         }
 
-        private static Outcome outcome(FullHttpResponse answer) {
+        private static Outcome outcome(HttpResponse answer) {
             return switch (answer.status().code()) {
-                case 200 -> Outcome.OK;
+                case OK -> Outcome.OK;
                 case 503, 504 -> "1".equals(answer.headers().get(NOT_RUN)) ? Outcome.FULL : Outcome.ERROR;
                 default -> Outcome.ERROR;
             };
         }
 
+        @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (current != null) {
+                current.body.drained();
+            }
+        }
+
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             server.idle.remove(this);
-            if (answer != null) {
+            if (whole && current != null) {
                 finish();
+            } else if (current != null && download != null) {
+                spoilt();
             } else if (current != null) {
                 current.broken();
                 current = null;
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -804,4 +804,41 @@
         h.change(Host.up(3, State.GONE, 0));
         assertEquals(1, h.balancer.skipped(h.now));
     }
+
+    // Large bodies
+
+    private static Balancer.Request arriving(Host h, String id) {
+        Balancer.Request r = new Balancer.Request(id, 2, 0, null, 20 * MILLI, SECOND, true, false);
+        h.balancer.arriving(h.now, r);
+        return r;
+    }
+
+    @Test
+    void requestOnItsWayTakesUpNoUpstreamAndNoTime() {
+        Host h = Host.of(config).list(1);
+        for (int i = 0; i < 50; i++) {
+            arriving(h, "a" + i);
+        }
+        assertEquals(50, count(h, "u0"));
+        h.advance(30 * SECOND);
+        assertTrue(h.refused.isEmpty() && h.failed.isEmpty());
+        String id = h.request(2, SECOND);
+        assertEquals(1, h.sends.get(id).size(), "there is room");
+        h.end(id, Outcome.OK, MILLI, null);
+        h.balancer.received(h.now, "a0");
+        h.advance(2 * SECOND);
+        assertEquals(List.of("a0"), h.failed, "its time is up, that of the others has not begun");
+    }
+
+    @Test
+    void largeAnswerUnderWayTakesUpNoUpstream() {
+        Host h = Host.of(config).list(1);
+        for (int i = 0; i < 50; i++) {
+            String id = h.request(0, SECOND);
+            assertEquals(1, h.sends.get(id).size(), "there is room");
+            h.balancer.opened(h.now, id, 0);
+        }
+        h.advance(5 * SECOND);
+        assertTrue(h.refused.isEmpty() && h.failed.isEmpty());
+    }
 }
--- /dev/null
+++ b/src/test/java/yewyoke/node/BodyTest.java
@@ -0,0 +1,96 @@
+package yewyoke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.api.Test;
+
+/** A body on its way: what is held of it, and when its client has to wait. */
+class BodyTest {
+    private static final int PIECE = 16 * 1024;
+
+    /** Takes what it is given as long as it may. */
+    private static final class Attempt implements Body.Sink {
+        long bytes;
+        boolean ended;
+        boolean writable = true;
+
+        @Override public void piece(ByteBuf piece) {
+            bytes += piece.readableBytes();
+            piece.release();
+        }
+
+        @Override public void end() {
+            ended = true;
+        }
+
+        @Override public boolean isWritable() {
+            return writable;
+        }
+    }
+
+    private final Body body = new Body(-1, () -> { });
+
+    private void add(int bytes) {
+        body.add(Unpooled.wrappedBuffer(new byte[bytes]));
+    }
+
+    @Test
+    void smallBodyGoesToEachAttempt() {
+        add(3);
+        body.end();
+        for (int i = 0; i < 2; i++) {
+            Attempt attempt = new Attempt();
+            body.to(attempt);
+            assertEquals(3, attempt.bytes);
+            assertTrue(attempt.ended);
+            body.leave(attempt);
+            assertTrue(body.isWhole());
+        }
+        assertEquals(3, body.length());
+    }
+
+    @Test
+    void clientWaitsWhileNobodyTakesMoreThanIsHeld() {
+        for (int came = 0; came <= Body.SMALL; came += PIECE) {
+            assertTrue(body.wantsMore());
+            add(PIECE);
+        }
+        assertFalse(body.wantsMore());
+        Attempt attempt = new Attempt();
+        body.to(attempt);
+        assertEquals(Body.SMALL + PIECE, attempt.bytes);
+        assertTrue(body.wantsMore());
+        attempt.writable = false;
+        assertFalse(body.wantsMore());
+    }
+
+    @Test
+    void bodyOfWhichAPartIsGoneIsNotWhole() {
+        Attempt attempt = new Attempt();
+        body.to(attempt);
+        add(Body.SMALL);
+        assertTrue(body.isWhole());
+        add(1);
+        assertFalse(body.isWhole());
+        assertEquals(0, body.content().readableBytes(), "nothing is held any more");
+        add(PIECE);
+        body.end();
+        assertEquals(Body.SMALL + 1 + PIECE, attempt.bytes);
+        assertTrue(attempt.ended);
+    }
+
+    @Test
+    void whatComesOnceNobodyWantsItIsDropped() {
+        add(Body.SMALL + 1);
+        body.release();
+        ByteBuf late = Unpooled.wrappedBuffer(new byte[9]);
+        body.add(late);
+        assertEquals(0, late.refCnt());
+        assertTrue(body.wantsMore(), "so that the client gets to its end");
+        assertFalse(body.isWhole());
+    }
+}
