Tell refused clients when to come back, as the settings allow

Design: the advice is the time in which the line of held requests passes at the pace at which requests come, bounded by the settings. Until now the module gave none although the settings allow it. Rejected: a fixed time, which brings all that honour it back at the same moment.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -65,6 +65,7 @@
     private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
     private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
     private static final long LONGEST_BODY = 600_000_000; // a request that is still arriving has so long
+    private static final long LEAST_RETRY = 100_000; // least advice to a refused client
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final Actions out;
@@ -636,7 +637,7 @@
     private void finish(Req r, long now) {
         hold(r, false, now);
         if (mayRefuse(r)) {
-            out.refuse(r.request.id(), 0);
+            out.refuse(r.request.id(), retryAfter(r));
             if (!r.request.retry()) {
                 r.lane.refusedAfter += 0.05 * (now - r.arrivedAt - r.lane.refusedAfter);
             }
@@ -646,6 +647,15 @@
         conclude(r, now);
     }
 
+    /** When to come back: once the line of those held has passed at the pace at which requests come. */
+    private long retryAfter(Req r) {
+        if (!r.limits.retryAfter() || r.limits.maxRetryAfter() <= 0) {
+            return 0;
+        }
+        long line = (long) (held.size() * 1e6 / Math.max(1, requestRate));
+        return Math.max(1, Math.min(r.limits.maxRetryAfter(), Math.max(LEAST_RETRY, line)));
+    }
+
     private void conclude(Req r, long now) {
         hold(r, false, now);
         r.ended = true;
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -841,4 +841,17 @@
         h.advance(5 * SECOND);
         assertTrue(h.refused.isEmpty() && h.failed.isEmpty());
     }
+
+    @Test
+    void refusedClientIsToldWhenToComeBackWhereThatIsAllowed() {
+        for (long most : new long[] {0, 2 * SECOND}) {
+            config.maxRetryAfter = most;
+            Host h = Host.of(config);
+            h.request(2, SECOND);
+            h.advance(2 * SECOND);
+            assertEquals(1, h.retryAfter.size());
+            long told = h.retryAfter.get(0);
+            assertTrue(most == 0 ? told == 0 : told > 0 && told <= most, "told " + told);
+        }
+    }
 }
--- a/src/test/java/yewyoke/Host.java
+++ b/src/test/java/yewyoke/Host.java
@@ -33,6 +33,7 @@
     final Map<String, List<String>> sends = new HashMap<>();
     final Map<String, Integer> perUpstream = new HashMap<>();
     final List<String> refused = new ArrayList<>();
+    final List<Long> retryAfter = new ArrayList<>();
     final List<String> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
     final List<String> probes = new ArrayList<>();
@@ -65,6 +66,7 @@
         long tick = 5 * MILLI;
         double lateWorth = 0.5;
         int attempts = 4;
+        long maxRetryAfter;
         List<Tenant> tenants = List.of();
         Scope scope = Scope.ZONE;
 
@@ -75,8 +77,8 @@
                         e, scope, SECOND, stream));
             }
             return new Settings(0, zones, position, group, classes, tenants, 0.2, true,
-                    new Limits(attempts, secondCopies, probes, cancel, peers, 20_000, false, 0, SECOND / 4, 10
-                    * SECOND, 1),
+                    new Limits(attempts, secondCopies, probes, cancel, peers, 20_000, maxRetryAfter > 0,
+                    maxRetryAfter, SECOND / 4, 10 * SECOND, 1),
                     new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
                     new Prices(crossZone, 0.1, probePrice, 0.01, 0.05, 0), reports, ratings, ask,
                     warmKeys, tick);
@@ -175,6 +177,7 @@
     public void refuse(String request, long retryAfter) {
         done.add(now + " refuse " + request);
         refused.add(request);
+        this.retryAfter.add(retryAfter);
         if (checker != null) {
             checker.refused(now, request);
         }
