--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -136,7 +136,8 @@
     Promise<Void> handOver(long keepServingMs, long lastAnswerMs) {
         loop.execute(() -> {
             stopping = true;
-            leaving = true;
+            // Only then: those who connect anew must not meet the listener that is about to close.
+            listening.closeFuture().addListener(f -> leaving = true);
             stopAccepting();
         });
         return end(keepServingMs, lastAnswerMs);
