Hold no more requests than half of the clients' connections

Design: the node tells the module how many requests may wait; beyond that the least worth are refused at once, with the time to come back. It is the module's decision, and the node's knowledge of connections. Cause found by figures every 0.3 s: while servers were released the balancer knew of 3 usable upstreams and held 128 requests, one on each connection that clients may have, so others could not be let in at all. Ruled out: discovery (its lines came and were taken), the clients' cap, upstream connections (35 of 64).

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -75,6 +75,7 @@
     private double waitShare, asksEach;
     private boolean tells, asks;
     private Lane[] lanes = {};
+    private int mostHeld = Integer.MAX_VALUE;
     private final Map<String, Up> byId = new LinkedHashMap<>();
     private final Map<Integer, Up> byHash = new HashMap<>();
     private final List<Up> ups = new ArrayList<>();
@@ -737,9 +738,14 @@
         askTokens = Math.min(askTokens + (request.retry() ? 1 : asksEach), ASK_SAVED * asksEach);
         ask(now);
         pump(now);
+        while (held.size() > mostHeld) {
+            finish(held.last(), now);
+        }
         expire(now);
     }
 
+    @Override public void mayHold(int most) { mostHeld = most; }
+
     /**
      * Our part of a tenant's allowance as a bucket of one second. What lies beyond it only loses its place
      * among held requests: that part is a guess, since traffic is not spread alike.
--- a/src/main/java/yewyoke/Balancer.java
+++ b/src/main/java/yewyoke/Balancer.java
@@ -22,6 +22,12 @@
      */
     void settings(long now, Settings settings);
 
+    /**
+     * So many requests may wait for an upstream at a time. Each of them holds up its client's connection; of
+     * more than that the least worth are refused at once.
+     */
+    void mayHold(int most);
+
     /** The list of upstreams, or changes of it, as discovery told it. */
     void upstreams(long now, ListKind kind, List<Upstream> entries);
 
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -72,6 +72,7 @@
         this.figures = figures;
         facts.classes().forEach(figures::show);
         this.balancer = new Balance(facts.settings(), config.seed(), this);
+        balancer.mayHold(Room.held(config.sockets()));
     }
 
     /** Where the one final answer of a request goes. */
--- a/src/main/java/yewyoke/node/Room.java
+++ b/src/main/java/yewyoke/node/Room.java
@@ -18,6 +18,11 @@
      */
     private static final double SHARED_CLIENTS = 1 / 3.0 + 1 / 48.0;
 
+    /** Half of the connections that clients have for requests: the other half is for those under way. */
+    static int held(int sockets) {
+        return Math.max(1, sockets / 6);
+    }
+
     /** The room in {@code sockets} descriptors, or that of one of two processes that {@code share} them. */
     static Room of(int sockets, boolean share) {
         int alone = Math.max(0, sockets - OWN_DESCRIPTORS);
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -854,4 +854,15 @@
             assertTrue(most == 0 ? told == 0 : told > 0 && told <= most, "told " + told);
         }
     }
+
+    @Test
+    void ofMoreThanMayBeHeldTheLeastWorthAreRefusedAtOnce() {
+        Host h = Host.of(config); // nothing to send to: all are held
+        h.balancer.mayHold(2);
+        String safe = h.request(0, SECOND);
+        String keyed = h.request(1, SECOND);
+        assertTrue(h.refused.isEmpty());
+        String unsafe = h.request(2, SECOND);
+        assertEquals(List.of(safe), h.refused, "worth less than " + keyed + " and " + unsafe);
+    }
 }
