--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -96,7 +96,7 @@
     }
 
     static String firstLine(Exception e) {
-        return e.toString().lines().findFirst().orElse("");
+        return (e instanceof BadInput ? e.getMessage() : e.toString()).lines().findFirst().orElse("");
     }
 
     /** Ends the process once nothing is left to be answered; asked again, it goes on with that. */
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -36,6 +36,7 @@
     private final Discovery discovery;
     private final ClientServer server;
     private boolean shares;
+    private Future<Void> stopped;
 
     private Node(EventLoop loop, Path file, Figures figures, Twin twin, Config config) {
         this.loop = loop;
@@ -116,17 +117,19 @@
      * Ends without losing anything; the future is done when nothing is left. With a successor in place
      * clients go there from now on; without one they have nowhere to go yet and are still let in.
      */
-    Future<Void> stop() {
+    synchronized Future<Void> stop() {
+        if (stopped != null) {
+            return stopped; // told again
+        }
         long longest = config.facts().settings().classes().stream()
                 .mapToLong(Balancer.RequestClass::giveUp).max().orElse(0) / 1_000;
         long kill = Math.min(LONGEST_DEADLINE_MS, longest) + KILL_MS;
         long leave = Math.max(KEEP_ACCEPTING_MS, kill - LAST_REQUEST_MS);
         boolean successor = twin.lives();
         LOG.log(System.Logger.Level.INFO, successor ? "hands over to a successor" : "has no successor");
-        if (successor) {
-            return server.handOver(leave, kill - LAST_ANSWER_MS);
-        }
-        return server.drain(KEEP_ACCEPTING_MS, leave, kill - LAST_ANSWER_MS);
+        stopped = successor ? server.handOver(leave, kill - LAST_ANSWER_MS)
+                : server.drain(KEEP_ACCEPTING_MS, leave, kill - LAST_ANSWER_MS);
+        return stopped;
     }
 
     void close() throws IOException {
--- a/src/test/java/yewyoke/node/ReplacementTest.java
+++ b/src/test/java/yewyoke/node/ReplacementTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.Future;
@@ -41,6 +42,7 @@
         Node successor = node(folder.resolve("config.json"));
         assertEquals("", successor.server().whyNotReady());
         Future<Void> stopped = running.stop();
+        assertSame(stopped, running.stop(), "told twice, it stops once");
         Message last = kept.write(submit()).read();
         assertEquals(200, last.status());
         assertEquals("close", last.headers().get("connection"));
