Let no limit rise at an upstream that reports no idle time

A successor learns what an answer usually takes from a crowded upstream, sees no waiting in it and lets the line stay long. Reported utilisation tells what times can't. Ruled out: the door (125 requests), discovery, processor time (1.0 at most, 0.45 on average). Rejected: handing what was learnt to the successor in a file; a crashed balancer has none either.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -66,6 +66,7 @@
     private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
     private static final long LONGEST_BODY = 600_000_000; // a request that is still arriving has so long
     private static final long LEAST_RETRY = 100_000; // least advice to a refused client
+    private static final double BUSY = 0.95; // reported utilisation from which on a limit rises no more
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final Actions out;
@@ -343,11 +344,16 @@
                 up.limit = Math.max(LEAST_LIMIT, up.limit * cut);
                 up.cutAt = now;
             }
-        } else if (t.limited) {
+        } else if (t.limited && !busy(up, now)) {
             up.limit += LIMIT_STEP * Math.min(up.limit, 1 / up.limit);
         }
     }
 
+    /** One that reports no idle time gets no faster by a longer line, whatever its answers take. */
+    private static boolean busy(Up up, long now) {
+        return now - up.reportAt <= FRESH && up.report.utilisation() > BUSY;
+    }
+
     /**
      * What of an answer's time was waiting: all beyond the least service time seen lately. The reported
      * service time will not do: it rises with the crowd on an upstream that slows down when crowded.
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -865,4 +865,32 @@
         String unsafe = h.request(2, SECOND);
         assertEquals(List.of(safe), h.refused, "worth less than " + keyed + " and " + unsafe);
     }
+
+    /** Taught by slow answers alone, a latecomer took these for usual, and the line never shrank. */
+    @Test
+    void limitDoesNotRiseAtAnUpstreamThatReportsNoIdleTime() {
+        Map<Double, Integer> atOnce = new HashMap<>();
+        for (double utilisation : new double[] {0.5, 1}) {
+            Host h = Host.of(config).list(1);
+            for (int round = 0; round < 60; round++) {
+                List<String> open = new ArrayList<>();
+                for (int i = 0; i < 12; i++) {
+                    open.add(h.request(0, 2 * SECOND));
+                }
+                int sent = (int) open.stream().filter(h.sends::containsKey).count();
+                atOnce.put(utilisation, sent);
+                while (!open.isEmpty()) {
+                    h.advance(20 * MILLI);
+                    for (String id : List.copyOf(open)) {
+                        if (h.sends.containsKey(id)) {
+                            h.end(id, Outcome.OK, 20 * MILLI, Host.report(utilisation));
+                            open.remove(id);
+                        }
+                    }
+                }
+            }
+        }
+        assertEquals(12, atOnce.get(0.5));
+        assertTrue(atOnce.get(1.0) < 6, atOnce.toString());
+    }
 }
