--- a/src/main/java/yewyoke/lab/sim/Troubles.java
+++ b/src/main/java/yewyoke/lab/sim/Troubles.java
@@ -60,7 +60,7 @@
                 case "rolling_drain" -> oneByOne(hit, from, s.micros("step_s"), v -> drain(v, len));
                 case "grey_errors" -> grey(hit, from, from + len, v -> v.quickErrors(s.number("size")),
                         v -> v.quickErrors(0));
-                case "grey_slow" -> grey(hit, from, from + len, v -> v.slowFactor(s.number("size")),
+                case "grey_slow" -> grey(hit, from, from + len, v -> v.slowFactor(1 + s.number("size")),
                         v -> v.slowFactor(1));
                 case "grey_hang" -> grey(hit, from, from + len, v -> v.hangs(Math.min(1, s.number("size"))),
                         v -> v.hangs(0));
