--- a/src/main/java/yewyoke/adapter/Adapter.java
+++ b/src/main/java/yewyoke/adapter/Adapter.java
@@ -6,6 +6,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import yewyoke.Balance;
+import yewyoke.Balancer;
 
 /** Command line: {@code adapter} reads batches on standard input and writes a reply for each. */
 public final class Adapter {
@@ -17,8 +19,19 @@
             err.println("usage: java -jar yewyoke.jar adapter");
             return 2;
         }
+        return run(Balance::new, in, stdout, err);
+    }
+
+    /** What stands behind the wire in each instance; the decision module, unless something is compared. */
+    public interface Maker {
+        /** A new instance. */
+        Balancer create(Balancer.Settings settings, long seed, Balancer.Actions out);
+    }
+
+    /** The same with something else in the module's place; returns 0, or 1 after bad input. */
+    public static int run(Maker maker, InputStream in, OutputStream stdout, PrintStream err) {
         Replies replies = new Replies();
-        Batches batches = new Batches(new Desk(replies), replies, err);
+        Batches batches = new Batches(new Desk(maker, replies), replies, err);
         long line = 0;
         try (OutputStream out = new BufferedOutputStream(stdout, 1 << 16)) {
             Lines lines = new Lines(in);
--- a/src/main/java/yewyoke/adapter/Desk.java
+++ b/src/main/java/yewyoke/adapter/Desk.java
@@ -4,20 +4,21 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import yewyoke.Balancer;
-import yewyoke.Balance;
 
 /** Keeps one module for each instance and hands it its events; they share nothing. */
 final class Desk {
     private final Map<Integer, Balancer> instances = new HashMap<>();
+    private final Adapter.Maker maker;
     private final Replies replies;
 
-    Desk(Replies replies) {
+    Desk(Adapter.Maker maker, Replies replies) {
+        this.maker = maker;
         this.replies = replies;
     }
 
     void create(int who, long now, long seed, Balancer.Settings settings) {
         guarded(who, () -> {
-            Balancer balancer = new Balance(settings, seed, replies.forInstance(who));
+            Balancer balancer = maker.create(settings, seed, replies.forInstance(who));
             instances.put(who, balancer);
             balancer.start(now);
         });
--- a/src/main/java/yewyoke/cli/LabCommand.java
+++ b/src/main/java/yewyoke/cli/LabCommand.java
@@ -13,6 +13,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import yewyoke.adapter.Adapter;
 import yewyoke.lab.Compare;
 import yewyoke.lab.Experiment;
 import yewyoke.lab.Reports;
@@ -134,16 +135,29 @@
         return 0;
     }
 
+    @Command(name = "adapter", mixinStandardHelpOptions = true,
+            description = "Play a contender on a simulator's wire, over standard input and output.")
+    int adapter(@Option(names = "--policy", required = true) String policy) {
+        Contender contender = contender(policy);
+        return Adapter.run((settings, seed, out) -> contender.create(settings, seed, out, null), System.in,
+                System.out, System.err);
+    }
+
+    private Contender contender(String policy) {
+        if (!Contender.all().containsKey(policy)) {
+            throw new ParameterException(spec.commandLine(), "--policy: expected one of "
+                    + String.join(", ", Contender.all().keySet()));
+        }
+        return Contender.all().get(policy);
+    }
+
     @Command(name = "speed", mixinStandardHelpOptions = true,
             description = "How fast the emulator plays a scenario, and what of it the balancers take.")
     int speed(@Parameters(paramLabel = "SCENARIO.toml") Path file,
             @Option(names = "--policy", defaultValue = "random") String policy,
             @Option(names = "--seed", defaultValue = "1") long seed,
             @Option(names = "--times", defaultValue = "3") int times) throws BadScenario {
-        if (!Contender.all().containsKey(policy)) {
-            throw new ParameterException(spec.commandLine(), "--policy: expected one of "
-                    + String.join(", ", Contender.all().keySet()));
-        }
+        contender(policy);
         for (int i = 0; i < times; i++) {
             out().println(Speed.measure(Scenario.read(file), policy, seed));
         }
