Log in JSON or text by the operator's file, and load a tool's libraries only where they are used

Logback does it, put in behind java.util.logging at run time: as a finder on the class path every process would load it, and Netty would take SLF4J at each start.

The jar now lists only what service needs, and yewyoke.node.Wide loads the rest for tools and for an operator's file.

lab plot writes one plot of a figure over a swept key.

--- a/src/main/java/yewyoke/cli/LabCommand.java
+++ b/src/main/java/yewyoke/cli/LabCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.function.IntConsumer;
 import java.util.stream.Stream;
 import picocli.CommandLine.Command;
@@ -38,7 +39,7 @@
     @Override
     public void run() {
         throw new ParameterException(spec.commandLine(), "missing command: run, compare, check, report, "
-                + "list, keys or speed");
+                + "plot, list, keys, adapter or speed");
     }
 
     @Command(name = "run", mixinStandardHelpOptions = true,
@@ -103,6 +104,21 @@
         return 0;
     }
 
+    @Command(name = "plot", mixinStandardHelpOptions = true,
+            description = "Plot one figure of a folder of results over a swept key, as SVG.")
+    int plot(@Parameters(paramLabel = "DIR") Path folder,
+            @Option(names = "--x", paramLabel = "KEY", required = true) String x,
+            @Option(names = "--figure", paramLabel = "NAME", defaultValue = "g") String figure,
+            @Option(names = "--policies", paramLabel = "NAME", split = ",") List<String> policies,
+            @Option(names = "--where", paramLabel = "KEY=VALUE") Map<String, String> where,
+            @Option(names = "--out", paramLabel = "FILE.svg", required = true) Path to)
+            throws BadScenario, IOException {
+        Reports.plot(folder, x, figure, policies == null ? List.of() : policies,
+                where == null ? Map.of() : where, to);
+        out().println(to);
+        return 0;
+    }
+
     @Command(name = "list", mixinStandardHelpOptions = true,
             description = "What there is to play: experiments, and contenders.")
     int list(@Parameters(paramLabel = "DIR", defaultValue = "lab") Path folder) throws IOException {
--- a/src/main/java/yewyoke/cli/Yewyoke.java
+++ b/src/main/java/yewyoke/cli/Yewyoke.java
@@ -2,14 +2,19 @@
 
 import java.io.PrintStream;
 import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.spi.ToolProvider;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import yewyoke.lab.scenario.BadScenario;
+import yewyoke.logging.LogSettings;
+import yewyoke.logging.Logs;
 
 /**
  * All sub-commands but {@code serve} and {@code adapter}, which the program takes straight. The program finds
@@ -26,6 +31,14 @@
     @Spec
     private CommandSpec spec;
 
+    @Option(names = "--log", paramLabel = "FORMAT", scope = CommandLine.ScopeType.INHERIT,
+            defaultValue = "plain", description = "form of log lines: plain, text or json")
+    private String log;
+
+    @Option(names = "--log-level", paramLabel = "[PACKAGE=]LEVEL", scope = CommandLine.ScopeType.INHERIT,
+            split = ",", description = "trace, debug, info, warn, error or off; for all or for a package")
+    private List<String> levels = new ArrayList<>();
+
     @Override
     public String name() {
         return "yewyoke";
@@ -38,7 +51,18 @@
                     boolean expected = e instanceof BadScenario;
                     line.getErr().println(expected ? e.getMessage() : "failed: " + e);
                     return expected ? 2 : 1;
-                }).execute(args);
+                }).setExecutionStrategy(this::execute).execute(args);
+    }
+
+    private int execute(CommandLine.ParseResult parsed) {
+        Yewyoke root = (Yewyoke) parsed.commandSpec().userObject();
+        try {
+            Logs.use(LogSettings.of(root.log, root.levels));
+        } catch (IllegalArgumentException e) {
+            throw new ParameterException(parsed.commandSpec().commandLine(), "log settings: "
+                    + e.getMessage());
+        }
+        return new CommandLine.RunLast().execute(parsed);
     }
 
     @Override
--- a/src/main/java/yewyoke/lab/Plots.java
+++ b/src/main/java/yewyoke/lab/Plots.java
@@ -49,7 +49,7 @@
         String title = chart.getTitle().replaceAll("[^A-Za-z0-9]", "");
         String stable = CLIP.matcher(text).replaceAll(m ->
                 "clip" + title + names.computeIfAbsent(m.group(1), k -> names.size()));
-        return "<p>" + stable.substring(stable.indexOf("<svg")) + "</p>\n";
+        return stable.substring(stable.indexOf("<svg"));
     }
 
     static String overSweep(String figure, String x, Map<String, TreeMap<Double, Interval>> curves) {
--- a/src/main/java/yewyoke/lab/Runner.java
+++ b/src/main/java/yewyoke/lab/Runner.java
@@ -23,6 +23,8 @@
 
 /** Plays an experiment's runs over several threads and writes the results as they come. */
 public final class Runner {
+    private static final System.Logger LOG = System.getLogger(Runner.class.getName());
+
     private final Experiment experiment;
     private final Path folder;
     private final int threads;
@@ -87,6 +89,7 @@
                 rows.add(row);
                 part.write(Results.JSON.writeValueAsString(row) + "\n");
                 part.flush();
+                LOG.log(System.Logger.Level.DEBUG, () -> "finished " + row.id() + ", G " + row.result().g());
                 progress.accept(rows.size());
             }
         } catch (ExecutionException e) {
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -4,16 +4,20 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.PrintStream;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.spi.ToolProvider;
 import yewyoke.adapter.Adapter;
 import yewyoke.adapter.BadInput;
+import yewyoke.logging.Logs;
 import yewyoke.ops.Door;
 import yewyoke.ops.Figures;
+import yewyoke.settings.BadOperatorFile;
+import yewyoke.settings.OperatorFile;
 
 /**
  * Command line: {@code serve} runs one balancer on sockets, {@code adapter} the module on the simulator; all
@@ -30,7 +34,11 @@
     private Main() { }
 
     /** Runs until SIGTERM ({@code serve}) or the end of input ({@code adapter}). */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws Exception {
+        if (path(System.getenv("NODE_OPERATOR")) != null && !Wide.already()) {
+            Wide.main(args); // what the operator's file switches on needs libraries of its own
+            return;
+        }
         if (System.getProperty(LOG_FORMAT) == null) {
             System.setProperty(LOG_FORMAT, "%4$s %5$s%6$s%n");
         }
@@ -46,15 +54,20 @@
             return Adapter.run(args, System.in, System.out, err);
         }
         if (args.length != 1 || !args[0].equals("serve")) {
-            // Found by name as a service: in service nothing of the tools is loaded.
-            return ToolProvider.findFirst("yewyoke").orElseThrow().run(System.out, err, args);
+            return Wide.tool(args, System.out, err);
         }
+        // Netty would take SLF4J, which lies on the class path for those who want it, and load it every time.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Path operator = path(System.getenv("NODE_OPERATOR"));
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             if (config == null) {
                 throw new IllegalArgumentException("NODE_CONFIG is not set");
             }
             Path file = Path.of(config);
+            if (operator != null) {
+                Logs.use(OperatorFile.read(operator).log());
+            }
             EventLoop loop = group.next();
             AtomicReference<Node> node = new AtomicReference<>();
             // First of all: unhandled, the signal ends the JVM. A node not up yet reads the new file anyway.
@@ -63,6 +76,7 @@
                 if (node.get() != null) {
                     node.get().reload();
                 }
+                reload(operator);
             }));
             Config first = Config.read(file);
             InetSocketAddress ops = door(first, System.getenv("NODE_OPS"));
@@ -87,6 +101,22 @@
         }
     }
 
+    private static Path path(String name) {
+        return name == null || name.isEmpty() ? null : Path.of(name);
+    }
+
+    /** Takes the operator's file anew, or keeps what holds. */
+    static void reload(Path operator) {
+        try {
+            if (operator != null) {
+                Logs.use(OperatorFile.read(operator).log());
+            }
+        } catch (BadOperatorFile e) {
+            System.getLogger(Main.class.getName()).log(System.Logger.Level.WARNING,
+                    "kept what the operator's file said before: " + e.getMessage());
+        }
+    }
+
     /** Where operators call: as configured, else as the environment has it; null for nowhere. */
     static InetSocketAddress door(Config config, String otherwise) throws BadInput {
         return config.ops() != null || otherwise == null || otherwise.isEmpty() ? config.ops()
@@ -100,7 +130,8 @@
     }
 
     static String firstLine(Exception e) {
-        return (e instanceof BadInput ? e.getMessage() : e.toString()).lines().findFirst().orElse("");
+        boolean ours = e instanceof BadInput || e instanceof BadOperatorFile;
+        return (ours ? e.getMessage() : e.toString()).lines().findFirst().orElse("");
     }
 
     /** Ends the process once nothing is left to be answered; asked again, it goes on with that. */
--- /dev/null
+++ b/src/main/java/yewyoke/settings/OperatorFile.java
@@ -0,0 +1,77 @@
+package yewyoke.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import yewyoke.logging.LogSettings;
+
+/**
+ * The operator's own file, {@code deploy/operator.toml} by custom and named by {@code NODE_OPERATOR}: what
+ * the platform's configuration has no room for. Checked whole; a bad one is
+ * refused in one line with its place.
+ */
+public record OperatorFile(LogSettings log) {
+    private static final List<String> SECTIONS = List.of("log");
+    private static final List<String> LOG_KEYS = List.of("format", "level", "levels");
+
+    /** Reads and checks a file. */
+    public static OperatorFile read(Path file) throws BadOperatorFile {
+        JsonNode tree;
+        try {
+            tree = new TomlMapper().readTree(Files.readString(file));
+        } catch (JsonProcessingException e) {
+            throw new BadOperatorFile(file + (e.getLocation() == null ? "" : " line "
+                    + e.getLocation().getLineNr()), e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new BadOperatorFile(file.toString(), "can't be read");
+        }
+        keys(file, "", tree, SECTIONS);
+        JsonNode log = tree.path("log");
+        if (!log.isMissingNode() && !log.isObject()) {
+            throw new BadOperatorFile(file + " log", "expected a section [log]");
+        }
+        keys(file, "log.", log, LOG_KEYS);
+        return new OperatorFile(log(file, log));
+    }
+
+    private static void keys(Path file, String prefix, JsonNode node, List<String> known)
+            throws BadOperatorFile {
+        for (var entry : node.properties()) {
+            if (!known.contains(entry.getKey())) {
+                throw new BadOperatorFile(file + " " + prefix + entry.getKey(),
+                        "unknown key; expected one of " + String.join(", ", known));
+            }
+        }
+    }
+
+    private static LogSettings log(Path file, JsonNode log) throws BadOperatorFile {
+        Map<String, String> levels = new TreeMap<>();
+        for (var entry : log.path("levels").properties()) {
+            levels.put(entry.getKey(), text(file, "log.levels." + entry.getKey(), entry.getValue(), ""));
+        }
+        String format = text(file, "log.format", log.path("format"), "plain");
+        String level = text(file, "log.level", log.path("level"), "info");
+        try {
+            return new LogSettings(LogSettings.Format.of(format), level, levels);
+        } catch (IllegalArgumentException e) {
+            throw new BadOperatorFile(file + " [log]", e.getMessage());
+        }
+    }
+
+    private static String text(Path file, String key, JsonNode value, String otherwise)
+            throws BadOperatorFile {
+        if (value.isMissingNode()) {
+            return otherwise;
+        }
+        if (!value.isTextual()) {
+            throw new BadOperatorFile(file + " " + key, "expected a text (names with dots go in quotes)");
+        }
+        return value.asText();
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/logging/LogsTest.java
@@ -0,0 +1,67 @@
+package yewyoke.logging;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Lines as they come out; standard error is taken over meanwhile. */
+class LogsTest {
+    private final PrintStream before = System.err;
+    private final ByteArrayOutputStream taken = new ByteArrayOutputStream();
+
+    @AfterEach
+    void back() {
+        System.setErr(before);
+        Logs.use(LogSettings.PLAIN);
+    }
+
+    private List<String> lines(LogSettings settings, Runnable what) {
+        System.setErr(new PrintStream(taken, true, StandardCharsets.UTF_8));
+        Logs.use(settings);
+        what.run();
+        System.setErr(before);
+        return taken.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+
+    private static void speak() {
+        System.getLogger("yewyoke.loud.A").log(System.Logger.Level.DEBUG, "first \"quoted\"");
+        System.getLogger("yewyoke.calm.B").log(System.Logger.Level.DEBUG, "not this");
+        System.getLogger("yewyoke.calm.B").log(System.Logger.Level.WARNING, "second\nline");
+    }
+
+    @Test
+    void jsonHasAnObjectALineAndLevelsByPackage() throws Exception {
+        List<String> lines = lines(LogSettings.of("json", List.of("yewyoke.loud=debug")), LogsTest::speak);
+        assertEquals(2, lines.size(), lines.toString());
+        JsonNode first = new ObjectMapper().readTree(lines.get(0));
+        assertEquals("first \"quoted\"", first.path("formattedMessage").asText());
+        assertEquals("DEBUG", first.path("level").asText());
+        assertEquals("yewyoke.loud.A", first.path("loggerName").asText());
+        assertTrue(first.path("timestamp").asLong() > 0);
+        assertEquals("second\nline", new ObjectMapper().readTree(lines.get(1)).path("formattedMessage")
+                .asText());
+    }
+
+    @Test
+    void textHasTimeThreadAndLogger() {
+        List<String> lines = lines(LogSettings.of("text", List.of("warn")), LogsTest::speak);
+        assertTrue(lines.get(0).matches("\\d{4}-\\d\\d-\\d\\dT.* WARN  \\[.+\\] yewyoke.calm.B: second"),
+                lines.toString());
+    }
+
+    @Test
+    void levelsCanChangeWhileTheProgramRuns() {
+        assertEquals(List.of(), lines(LogSettings.of("text", List.of("off")), LogsTest::speak));
+        assertEquals(3, lines(LogSettings.of("plain", List.of("yewyoke.loud=debug")), LogsTest::speak)
+                .size());
+        assertTrue(taken.toString(StandardCharsets.UTF_8).startsWith("DEBUG first"));
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/settings/OperatorFileTest.java
@@ -0,0 +1,54 @@
+package yewyoke.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import yewyoke.logging.LogSettings;
+
+class OperatorFileTest {
+    @TempDir
+    Path folder;
+
+    private OperatorFile read(String text) throws IOException, BadOperatorFile {
+        return OperatorFile.read(Files.writeString(folder.resolve("operator.toml"), text));
+    }
+
+    @Test
+    void theShippedFileIsGood() throws BadOperatorFile {
+        OperatorFile file = OperatorFile.read(Path.of("deploy", "operator.toml"));
+        assertEquals(LogSettings.Format.JSON, file.log().format());
+        assertEquals(Map.of("yewyoke.node.Discovery", "debug"), file.log().levels());
+    }
+
+    @Test
+    void anEmptyFileMeansTodaysBehaviour() throws Exception {
+        assertEquals(LogSettings.PLAIN, read("").log());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "[lag]\\n | lag: unknown key; expected one of log",
+        "log = 1 | log: expected a section [log]",
+        "[log]\\nfrmat = \"json\" | log.frmat: unknown key; expected one of format, level, levels",
+        "[log]\\nformat = \"xml\" | [log]: expected plain, text or json, got xml",
+        "[log]\\nformat = 3 | log.format: expected a text",
+        "[log]\\nlevel = \"loud\" | [log]: expected one of trace, debug",
+        "[log.levels]\\nyewyoke.node = \"debug\" | log.levels.yewyoke: expected a text (names with dots",
+        "[log | line 1"})
+    void aBadFileIsRefusedInOneLineWithItsPlace(String text, String message) {
+        String said = assertThrows(BadOperatorFile.class, () -> read(text.replace("\\n", "\n"))).getMessage();
+        assertTrue(said.contains(message), said);
+        assertEquals(1, said.lines().count());
+        assertTrue(assertThrows(BadOperatorFile.class, () -> OperatorFile.read(folder.resolve("none")))
+                .getMessage().endsWith("can't be read"));
+    }
+}
