Hand clock and channels in from above, and let nothing wait on the loop

Failures of timing can only be played in virtual time, but Driver, Session, ClientServer, Upstreams and Discovery read System.nanoTime and opened sockets by themselves, and a successor waited for the list by sleeping.

yewyoke.transport has the loop with its time, chance and channels; SocketTransport is what service uses. Node takes its configuration, its transport and word of a twin from whoever makes it, and listens by a future.

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -2,17 +2,16 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,10 +20,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import yewyoke.adapter.SettingsReader;
+import yewyoke.transport.Listening;
+import yewyoke.transport.Transport;
 
 /** The side towards clients: takes requests in, and gives each its one answer. */
 final class ClientServer {
-    private static final int BACKLOG = 1024;
     /** Of the library's, except that a body comes in larger pieces. */
     private static final HttpDecoderConfig DECODER = new HttpDecoderConfig().setMaxChunkSize(32 * 1024);
     /** Bounds what the system holds for a client that reads slowly, and shows that it reads at all. */
@@ -45,6 +45,7 @@
     /** At a planned stop idle connections are closed one by one, this far apart. */
     private static final long BETWEEN_CLOSES_MS = 1;
 
+    final Transport transport;
     private final EventLoop loop;
     final Driver driver;
     RequestCheck check;
@@ -55,32 +56,38 @@
     final Set<Session> idle = new LinkedHashSet<>();
     final Set<Session> unread = new LinkedHashSet<>();
     private final Promise<Void> drained;
-    private volatile Listener listening;
+    private volatile Listening listening;
     private volatile boolean stopping;
     /** Whether each answer is the last on its connection. */
     boolean leaving;
 
-    ClientServer(EventLoop loop, Driver driver, SettingsReader.Found facts, int maxConnections) {
-        this.loop = loop;
+    ClientServer(Transport transport, Driver driver, SettingsReader.Found facts, int maxConnections) {
+        this.transport = transport;
+        this.loop = transport.loop();
         this.driver = driver;
         this.check = new RequestCheck(facts);
         this.maxConnections = maxConnections;
         this.drained = loop.newPromise();
     }
 
-    /** Listens; fails if the address can't be had. */
-    void bind(InetSocketAddress address) throws InterruptedException {
-        listening = (Listener) new ServerBootstrap().group(loop).channelFactory(Listener::new)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER)
+    /** Listens; the future fails if the address can't be had. */
+    ChannelFuture bind(InetSocketAddress address) {
+        ChannelFuture binding = new ServerBootstrap().group(loop).channelFactory(transport::listening)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
+                        if (channel.config() instanceof SocketChannelConfig socket) {
+                            socket.setTcpNoDelay(true).setSendBufferSize(SEND_BUFFER);
+                        }
                         prepare(channel);
                     }
-                }).bind(address).sync().channel();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+                }).bind(address);
+        binding.addListener(f -> {
+            if (f.isSuccess()) {
+                listening = (Listening) binding.channel();
+                loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+        return binding;
     }
 
     /** Makes a channel one to a client. */
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -17,13 +17,17 @@
  * What this balancer is told at its start: addresses, limits, the list as last held, and the settings.
  * {@code ops} is null where operators have no door. Only a file that is good as a whole becomes one of these.
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, long seed,
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, long seed,
         int sockets, ServerList known, SettingsReader.Found facts, Keys keys) {
     static final JsonFactory JSON = new JsonFactory();
     private static final int DEFAULT_SOCKETS = 1024;
 
     static Config read(Path file) throws BadInput, IOException {
-        byte[] text = Files.readAllBytes(file);
+        return parse(Files.readAllBytes(file));
+    }
+
+    /** The same from the file's bytes. */
+    public static Config parse(byte[] text) throws BadInput, IOException {
         try (JsonParser json = JSON.createParser(text)) {
             return read(json, text);
         } catch (IllegalArgumentException e) {
--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -32,10 +31,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.ListKind;
 import yewyoke.adapter.BadInput;
+import yewyoke.transport.Transport;
 
 /** Follows the list of upstreams: one watch, kept open from the version known, and single lists if asked. */
 final class Discovery {
@@ -48,6 +47,7 @@
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 1_000;
 
+    private final Transport transport;
     private final EventLoop loop;
     private final boolean asked;
     private final Driver driver;
@@ -61,8 +61,9 @@
     private boolean badLineLogged;
 
     /** With {@code asked} the module says when to call; otherwise the watch opens itself again. */
-    Discovery(EventLoop loop, InetSocketAddress address, boolean asked, long version, Driver driver) {
-        this.loop = loop;
+    Discovery(Transport transport, InetSocketAddress address, boolean asked, long version, Driver driver) {
+        this.transport = transport;
+        this.loop = transport.loop();
         this.address = address;
         this.asked = asked;
         this.version = version;
@@ -115,7 +116,7 @@
 
     private Channel call(String uri) {
         Call call = new Call();
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(transport::outgoing)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
@@ -151,7 +152,7 @@
                 driver.listUnavailable();
             }
         } else if (watching && wanted) {
-            long wait = pause / 2 + ThreadLocalRandom.current().nextLong(pause);
+            long wait = pause / 2 + transport.random().nextLong(pause);
             pause = Math.min(LONGEST_PAUSE_MS, 2 * pause);
             loop.schedule(() -> {
                 if (wanted && watch == null) {
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -30,6 +30,7 @@
 import yewyoke.node.Upstreams.Answer;
 import yewyoke.ops.Figures;
 import yewyoke.ops.Figures.Ending;
+import yewyoke.transport.Transport;
 
 /**
  * Owns the decision module and does for it on sockets what the simulator did: clock, timers, attempts and
@@ -48,6 +49,7 @@
     private static final long FLEET_MS = 100;
 
     private final EventLoop loop;
+    private final Transport transport;
     private SettingsReader.Found facts;
     private Limits limits;
     private final String host;
@@ -56,15 +58,18 @@
     private final Balancer balancer;
     private final Map<String, Open> open = new HashMap<>();
     private final Deque<Runnable> events = new ArrayDeque<>();
-    private final long epochMicros = System.currentTimeMillis() * 1_000;
-    private final long origin = System.nanoTime();
+    private final long epochMicros;
+    private final long origin;
     private Discovery discovery;
     private boolean inEvent;
     private volatile boolean ready;
     private boolean badReportLogged;
 
-    Driver(EventLoop loop, Config config, Upstreams upstreams, Figures figures) {
-        this.loop = loop;
+    Driver(Transport transport, Config config, Upstreams upstreams, Figures figures) {
+        this.transport = transport;
+        this.loop = transport.loop();
+        this.epochMicros = transport.wallMillis() * 1_000;
+        this.origin = transport.nanoTime();
         this.facts = config.facts();
         this.limits = facts.settings().limits();
         this.host = config.listen().getHostString();
@@ -172,7 +177,7 @@
 
     /** Unix time in microseconds that never steps: the module's clock, and what its start times are in. */
     private long now() {
-        return epochMicros + (System.nanoTime() - origin) / 1_000;
+        return epochMicros + (transport.nanoTime() - origin) / 1_000;
     }
 
     /**
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -2,18 +2,22 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer;
 import yewyoke.adapter.BadInput;
 import yewyoke.ops.Figures;
+import yewyoke.transport.SocketTransport;
+import yewyoke.transport.Transport;
 
 /**
  * One balancer in one process, from its start to its end. All of it lives on one event loop; what operators
  * ask may come from any thread.
  */
-final class Node {
+public final class Node {
     private static final System.Logger LOG = System.getLogger(Node.class.getName());
     /** After SIGTERM connections come for up to 0.4 s more; a little later none waits to be accepted. */
     private static final long KEEP_ACCEPTING_MS = 500;
@@ -27,7 +31,7 @@
     private static final long LOOK_MS = 100;
 
     private final EventLoop loop;
-    private final Path file;
+    private final ConfigSource source;
     private final Figures figures;
     private Config config;
     private final Twin twin;
@@ -38,43 +42,79 @@
     private boolean shares;
     private Future<Void> stopped;
 
-    private Node(EventLoop loop, Path file, Figures figures, Twin twin, Config config) {
-        this.loop = loop;
-        this.file = file;
+    private Node(Transport transport, ConfigSource source, Figures figures, Twin twin, Config config) {
+        this.loop = transport.loop();
+        this.source = source;
         this.figures = figures;
         this.config = config;
         this.twin = twin;
         this.shares = twin.lives();
         var settings = config.facts().settings();
         Room room = Room.of(config.sockets(), shares);
-        this.upstreams = new Upstreams(loop, settings.limits().connectTimeout(),
+        this.upstreams = new Upstreams(transport, settings.limits().connectTimeout(),
                 settings.limits().connectIdle(), room.upstreams());
-        this.driver = new Driver(loop, config, upstreams, figures);
-        this.discovery = new Discovery(loop, config.discovery(), settings.askForList(),
+        this.driver = new Driver(transport, config, upstreams, figures);
+        this.discovery = new Discovery(transport, config.discovery(), settings.askForList(),
                 config.known().version(), driver);
-        this.server = new ClientServer(loop, driver, config.facts(), room.clients());
+        this.server = new ClientServer(transport, driver, config.facts(), room.clients());
+    }
+
+    /** Where a configuration comes from, at the start and at each reload. */
+    public interface ConfigSource {
+        /** The configuration as it is now; refused as a whole if it is not good. */
+        Config read() throws BadInput, IOException;
+    }
+
+    /** How a process tells of itself to others of the same balancer. */
+    public interface TwinSource {
+        /** Joins those that listen at the address. */
+        Twin join(InetSocketAddress listen);
     }
 
     /** Makes a balancer that follows discovery; it serves nobody before {@link #listen}. */
     static Node start(Path file, EventLoop loop, Figures figures, Path folder) throws Exception {
-        return loop.submit(() -> {
-            Config config = Config.read(file);
-            Node node = new Node(loop, file, figures, Twin.join(folder, config.listen()), config);
-            node.driver.start(node.discovery, config.known());
-            loop.scheduleWithFixedDelay(node::lookForTwin, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-            return node;
-        }).sync().getNow();
+        Transport transport = new SocketTransport(loop);
+        return loop.submit(() -> create(() -> Config.read(file), transport, figures,
+                listen -> LockTwin.join(folder, listen))).sync().getNow();
+    }
+
+    /** The same from within the loop, with all that comes from outside handed in. */
+    public static Node create(ConfigSource source, Transport transport, Figures figures, TwinSource twins)
+            throws BadInput, IOException {
+        Config config = source.read();
+        Node node = new Node(transport, source, figures, twins.join(config.listen()), config);
+        node.driver.start(node.discovery, config.known());
+        transport.loop().scheduleWithFixedDelay(node::lookForTwin, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        return node;
+    }
+
+    /** Lets clients in, and returns when it does. */
+    void listen() throws InterruptedException {
+        listening().sync();
     }
 
     /**
      * Lets clients in. One that replaces another waits for the list: from the moment it listens the system
      * deals part of the clients to it, and the other one still serves them better.
      */
-    void listen() throws InterruptedException {
-        while (twin.lives() && !driver.ready()) {
-            Thread.sleep(LOOK_MS);
+    public Future<Void> listening() {
+        Promise<Void> done = loop.newPromise();
+        loop.execute(() -> listen(done));
+        return done;
+    }
+
+    private void listen(Promise<Void> done) {
+        if (twin.lives() && !driver.ready()) {
+            loop.schedule(() -> listen(done), LOOK_MS, TimeUnit.MILLISECONDS);
+            return;
         }
-        server.bind(config.listen());
+        server.bind(config.listen()).addListener(f -> {
+            if (f.isSuccess()) {
+                done.setSuccess(null);
+            } else {
+                done.setFailure(f.cause());
+            }
+        });
     }
 
     /** Two processes share what is given to one: descriptors first of all. */
@@ -96,9 +136,9 @@
      * Reads the configuration again. All of it is checked before anything changes, and then discovery and the
      * settings change together; addresses and limits are those of the start.
      */
-    void reload() {
+    public void reload() {
         try {
-            Config next = Config.read(file).after(config);
+            Config next = source.read().after(config);
             config = next;
             var limits = next.facts().settings().limits();
             upstreams.times(limits.connectTimeout(), limits.connectIdle());
@@ -117,7 +157,7 @@
      * Ends without losing anything; the future is done when nothing is left. With a successor in place
      * clients go there from now on; without one they have nowhere to go yet and are still let in.
      */
-    synchronized Future<Void> stop() {
+    public synchronized Future<Void> stop() {
         if (stopped != null) {
             return stopped; // told again
         }
@@ -132,7 +172,8 @@
         return stopped;
     }
 
-    void close() throws IOException {
+    /** Gives up its place beside a twin. */
+    public void close() throws IOException {
         twin.close();
     }
 }
--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -14,6 +14,8 @@
 import yewyoke.Balancer.RequestClass;
 import yewyoke.Balancer.State;
 import yewyoke.ops.Figures;
+import yewyoke.transport.SocketTransport;
+import yewyoke.transport.Transport;
 
 /**
  * Serves requests to itself before the balancer is ready, in memory and through all its parts. Code that has
@@ -36,10 +38,11 @@
     private Rehearsal(Config config) {
         this.config = config;
         var limits = config.facts().settings().limits();
-        this.upstreams = new Upstreams(stage.eventLoop(), limits.connectTimeout(), Long.MAX_VALUE / 1_000,
+        Transport transport = new SocketTransport(stage.eventLoop());
+        this.upstreams = new Upstreams(transport, limits.connectTimeout(), Long.MAX_VALUE / 1_000,
                 UPSTREAMS);
-        Driver driver = new Driver(stage.eventLoop(), config, upstreams, new Figures());
-        this.server = new ClientServer(stage.eventLoop(), driver, config.facts(), UPSTREAMS);
+        Driver driver = new Driver(transport, config, upstreams, new Figures());
+        this.server = new ClientServer(transport, driver, config.facts(), UPSTREAMS);
         List<ServerList.Entry> entries = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
             InetSocketAddress addr = new InetSocketAddress(config.listen().getAddress(), i + 1);
--- a/src/main/java/yewyoke/node/Session.java
+++ b/src/main/java/yewyoke/node/Session.java
@@ -73,7 +73,7 @@
 
     private void enter(Set<Session> set) {
         leave();
-        since = System.nanoTime();
+        since = server.transport.nanoTime();
         set.add(this);
     }
 
@@ -84,12 +84,13 @@
     }
 
     long sinceMs() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
+        return TimeUnit.NANOSECONDS.toMillis(server.transport.nanoTime() - since);
     }
 
     /** How long nothing has come, though there was room for it. */
     long quietMs() {
-        return channel.config().isAutoRead() ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - byteAt) : 0;
+        return channel.config().isAutoRead()
+                ? TimeUnit.NANOSECONDS.toMillis(server.transport.nanoTime() - byteAt) : 0;
     }
 
     boolean isNew() {
@@ -104,7 +105,7 @@
     ChannelHandler watch() {
         return new ChannelInboundHandlerAdapter() {
             @Override public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-                byteAt = System.nanoTime();
+                byteAt = server.transport.nanoTime();
                 anyByte = true;
                 if (server.idle.contains(Session.this)) {
                     enter(server.silent);
@@ -115,7 +116,7 @@
     }
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
-        byteAt = System.nanoTime();
+        byteAt = server.transport.nanoTime();
         enter(server.silent);
         server.opened(this);
     }
--- a/src/main/java/yewyoke/node/Twin.java
+++ b/src/main/java/yewyoke/node/Twin.java
@@ -1,65 +1,9 @@
 package yewyoke.node;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
-import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
-
-/**
- * Tells whether a second process serves at the same address, as while one replaces the other. Each of the two
- * holds a lock on one byte of a common file; the system gives it back however the process ends.
- */
-final class Twin implements AutoCloseable {
-    private static final System.Logger LOG = System.getLogger(Twin.class.getName());
-
-    /** Null where the folder can't be written: then nobody can tell, and one process is the usual case. */
-    private final FileChannel file;
-    private final int place;
-
-    private Twin(FileChannel file, int place) {
-        this.file = file;
-        this.place = place;
-    }
-
-    /** Makes this process known among those that listen at the address. */
-    static Twin join(Path folder, InetSocketAddress listen) {
-        Path path = folder.resolve("yewyoke-" + listen.toString().replaceAll("\\W+", "-") + ".lock");
-        try {
-            FileChannel file =
-                    FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            return new Twin(file, lock(file, 0) != null || lock(file, 1) == null ? 0 : 1);
-        } catch (IOException e) {
-            LOG.log(System.Logger.Level.WARNING, "can't tell of a second process: " + e);
-            return new Twin(null, 0);
-        }
-    }
-
-    private static FileLock lock(FileChannel file, int place) throws IOException {
-        try {
-            return file.tryLock(place, 1, false);
-        } catch (OverlappingFileLockException e) {
-            return null; // held within this JVM
-        }
-    }
+import java.io.Closeable;
 
+/** Tells whether a second process serves at the same address, as while one replaces the other. */
+public interface Twin extends Closeable {
     /** Whether the other one lives. */
-    boolean lives() {
-        if (file == null) {
-            return false;
-        }
-        try (FileLock free = lock(file, 1 - place)) {
-            return free == null;
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
-    @Override public void close() throws IOException {
-        if (file != null) {
-            file.close();
-        }
-    }
+    boolean lives();
 }
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -11,7 +11,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -36,6 +35,7 @@
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.State;
+import yewyoke.transport.Transport;
 
 /**
  * The connections to upstreams, and the attempts on them. A connection carries one request at a time and is
@@ -55,17 +55,18 @@
     private static final long SWEEP_MS = 250;
 
     private final EventLoop loop;
+    private final Transport transport;
     private final Bootstrap bootstrap;
     private long idleNanos;
     private int maxConnections;
     private final Map<String, Server> servers = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, long connectTimeoutMicros, long connectIdleMicros, int maxConnections) {
-        this.loop = loop;
+    Upstreams(Transport transport, long connectTimeoutMicros, long connectIdleMicros, int maxConnections) {
+        this.transport = transport;
+        this.loop = transport.loop();
         this.maxConnections = maxConnections;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(transport::outgoing)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         prepare(channel);
@@ -194,7 +195,7 @@
     }
 
     private void dropIdle() {
-        long now = System.nanoTime();
+        long now = transport.nanoTime();
         for (Server server : servers.values()) {
             while (!server.idle.isEmpty() && now - server.idle.peekLast().idleSince > idleNanos) {
                 server.idle.pollLast().channel.close();
@@ -225,7 +226,7 @@
     }
 
     private Connection idle(Server server) {
-        long now = System.nanoTime();
+        long now = transport.nanoTime();
         for (Connection c = server.idle.poll(); c != null; c = server.idle.poll()) {
             if (c.channel.isActive() && now - c.idleSince < idleNanos) {
                 return c;
@@ -404,7 +405,7 @@
 
         private void body(HttpContent content) {
             came += content.content().readableBytes();
-            cameAt = System.nanoTime();
+            cameAt = transport.nanoTime();
             boolean last = content instanceof LastHttpContent;
             if (came > Body.MOST || last && !channel.isActive() && !endsWithItsConnection()) {
                 // More than anything can be, or cut short: only if it was told can the end be told from that.
@@ -456,7 +457,7 @@
 
         private void checkProgress() {
             if (download != null && current != null) {
-                long left = STALLED_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - cameAt);
+                long left = STALLED_MS - TimeUnit.NANOSECONDS.toMillis(transport.nanoTime() - cameAt);
                 if (left <= 0 && channel.config().isAutoRead()) {
                     spoilt();
                 } else {
@@ -466,7 +467,7 @@
         }
 
         private void resume() {
-            cameAt = System.nanoTime();
+            cameAt = transport.nanoTime();
             channel.config().setAutoRead(true);
         }
 
@@ -520,7 +521,7 @@
 
         private void keep() {
             channel.config().setAutoRead(true);
-            idleSince = System.nanoTime();
+            idleSince = transport.nanoTime();
             server.idle.push(this);
         }
 
--- a/src/main/java/yewyoke/transport/SocketListener.java
+++ b/src/main/java/yewyoke/transport/SocketListener.java
@@ -1,4 +1,4 @@
-package yewyoke.node;
+package yewyoke.transport;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -8,15 +8,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** The clients' address. It can be given up without losing those who wait there to be accepted. */
-final class Listener extends NioServerSocketChannel {
-    private static final System.Logger LOG = System.getLogger(Listener.class.getName());
+/** A listening socket. */
+final class SocketListener extends NioServerSocketChannel implements Listening {
+    private static final System.Logger LOG = System.getLogger(SocketListener.class.getName());
 
     /**
      * Accepts all that waits and closes right behind the last one. The socket leaves its selector first: as
      * long as it is in there, closing only takes effect later, and whoever connects meanwhile is reset.
      */
-    void closeBehindTheLast(Consumer<Channel> accepted) {
+    @Override public void closeBehindTheLast(Consumer<Channel> accepted) {
         EventLoop loop = eventLoop();
         deregister().addListener(f -> closeOnceFree(loop, accepted));
     }
--- /dev/null
+++ b/src/main/java/yewyoke/transport/SocketTransport.java
@@ -0,0 +1,52 @@
+package yewyoke.transport;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.StandardSocketOptions;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+
+/** Real sockets and real time. */
+public final class SocketTransport implements Transport {
+    private static final int BACKLOG = 1024;
+
+    private final EventLoop loop;
+
+    /** On that loop. */
+    public SocketTransport(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override public EventLoop loop() {
+        return loop;
+    }
+
+    @Override public long nanoTime() {
+        return System.nanoTime();
+    }
+
+    @Override public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override public RandomGenerator random() {
+        return ThreadLocalRandom.current();
+    }
+
+    @Override public Channel outgoing() {
+        NioSocketChannel channel = new NioSocketChannel();
+        channel.config().setTcpNoDelay(true);
+        return channel;
+    }
+
+    @Override public Listening listening() {
+        SocketListener listener = new SocketListener();
+        listener.config().setOption(ChannelOption.SO_BACKLOG, BACKLOG);
+        listener.config().setOption(ChannelOption.SO_REUSEADDR, true);
+        listener.config().setOption(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        return listener;
+    }
+}
--- a/src/test/java/yewyoke/node/ReplacementTest.java
+++ b/src/test/java/yewyoke/node/ReplacementTest.java
@@ -93,12 +93,13 @@
     @Test
     void twinsTellOfEachOther() throws Exception {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 8080);
-        Twin one = Twin.join(folder, address);
+        Twin one = LockTwin.join(folder, address);
         assertFalse(one.lives());
-        Twin other = Twin.join(folder, address);
+        Twin other = LockTwin.join(folder, address);
         assertTrue(one.lives());
         assertTrue(other.lives());
-        assertFalse(Twin.join(folder, new InetSocketAddress("127.0.0.1", 8081)).lives(), "another balancer");
+        assertFalse(LockTwin.join(folder, new InetSocketAddress("127.0.0.1", 8081)).lives(),
+                "another balancer");
         one.close();
         assertFalse(other.lives());
         other.close();
@@ -106,7 +107,7 @@
 
     @Test
     void folderThatCannotBeWrittenMeansOneProcess() throws Exception {
-        Twin twin = Twin.join(folder.resolve("missing"), new InetSocketAddress("127.0.0.1", 8080));
+        Twin twin = LockTwin.join(folder.resolve("missing"), new InetSocketAddress("127.0.0.1", 8080));
         assertFalse(twin.lives());
         twin.close();
     }
