Answer a request whose body is held up when its client's time is up

A large body stops half way when the upstream that has it takes nothing, or while no upstream has it.

A body that is held up now has a patience of its own: the request's time where all that is missing may lie between client and balancer, else 10 s. Progress begins it anew.

--- a/src/main/java/yewyoke/node/Body.java
+++ b/src/main/java/yewyoke/node/Body.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.util.function.Consumer;
 
 /**
  * The body of a request on its way from a client to an upstream. A small one is held whole and can be sent
@@ -34,6 +35,8 @@
     private boolean ended;
     private boolean released;
     private Sink sink;
+    private Consumer<Boolean> flow = blocked -> { };
+    private boolean blocked;
 
     /** {@code length} is -1 if it is not known yet; {@code room} is told of room for more. */
     Body(long length, Runnable room) {
@@ -48,6 +51,20 @@
         return body;
     }
 
+    /** Tells from now on whether more could come but can't be taken, also how it is at present. */
+    void flow(Consumer<Boolean> to) {
+        flow = to;
+        flow.accept(blocked);
+    }
+
+    private void noteFlow() {
+        boolean now = !ended && !wantsMore();
+        if (now != blocked) {
+            blocked = now;
+            flow.accept(now);
+        }
+    }
+
     /** Takes over the next bytes. */
     void add(ByteBuf bytes) {
         came += bytes.readableBytes();
@@ -65,10 +82,12 @@
             bytes.release();
         }
         passOn();
+        noteFlow();
     }
 
     void end() {
         ended = true;
+        noteFlow();
         if (sink != null) {
             sink.end();
         }
@@ -84,6 +103,7 @@
         if (ended) {
             next.end();
         }
+        noteFlow();
         room.run();
     }
 
@@ -91,11 +111,13 @@
     void leave(Sink old) {
         if (sink == old) {
             sink = null;
+            noteFlow();
         }
     }
 
     /** An attempt can take more. */
     void drained() {
+        noteFlow();
         room.run();
     }
 
@@ -140,6 +162,7 @@
         released = true;
         sink = null;
         held = Unpooled.EMPTY_BUFFER;
+        noteFlow();
         room.run();
     }
 }
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -45,6 +45,10 @@
     private static final long TRUST_KNOWN_MS = 1_000;
     /** So long a body may be on its way; how fast it has to come is for the side that reads it. */
     private static final long LONGEST_BODY_MS = 600_000;
+    /** So much of a body may lie between a client that has sent all of it and us. */
+    private static final long UNDERWAY = 256 * 1024;
+    /** A body of which more is still to be sent may be held up for so long. */
+    private static final long LONGEST_STALL_MS = 10_000;
     /** How often operators get to see another number of upstreams. */
     private static final long FLEET_MS = 100;
 
@@ -106,6 +110,8 @@
         long deadline;
         final List<Attempt> attempts = new ArrayList<>(1);
         ScheduledFuture<?> atDeadline;
+        /** Set while its body is held up: what it is then answered at. */
+        ScheduledFuture<?> atStall;
         boolean concluded;
         /** Its client is being served by an attempt that can't be taken back. */
         boolean streaming;
@@ -240,6 +246,9 @@
         }
         open.put(request.id(), o);
         expireIn(o, left);
+        if (!body.isEnded()) {
+            body.flow(blocked -> held(o, blocked));
+        }
         if (body.isEnded()) {
             event(() -> balancer.request(now(), request));
         } else {
@@ -252,6 +261,22 @@
         o.atDeadline = loop.schedule(() -> overdue(o), left, TimeUnit.MICROSECONDS);
     }
 
+    /**
+     * A body is held up, because no upstream has it yet or the one that does takes nothing, or goes on. The
+     * client may have sent its last byte all the same, and then its time runs out unseen.
+     */
+    private void held(Open o, boolean blocked) {
+        if (o.atStall != null) {
+            o.atStall.cancel(false);
+            o.atStall = null;
+        }
+        if (blocked && !o.concluded && !o.streaming) {
+            boolean nearlyAll = o.body.length() < 0 || o.body.length() - o.body.came() <= UNDERWAY;
+            long patience = nearlyAll ? o.request.timeLeft() : LONGEST_STALL_MS * 1_000;
+            o.atStall = loop.schedule(() -> overdue(o), patience, TimeUnit.MICROSECONDS);
+        }
+    }
+
     /** All of a request's body has come: from now on its time counts. */
     void received(String id) {
         Open o = open.get(id);
@@ -323,6 +348,7 @@
         if (o.concluded && !o.outstanding() && open.remove(o.request.id(), o)) {
             o.atDeadline.cancel(false);
             o.body.release();
+            held(o, false);
         }
     }
 
