Play the real balancer in virtual time, among scripted peers and faults drawn from a seed

Our failures are failures of timing, and loopback tests in real time meet them by luck. yewyoke.faults runs the unmodified Node, sessions, attempts, discovery and module on a virtual clock and network: delays, bytes cut anywhere, windows, half-closed and silent connections, accept queues; upstreams that die, vanish, drain, are replaced, hang, break at any byte, answer twice or spoilt; discovery that is down, late, torn or older; clients that leave, stream 90 KB or send rubbish; reloads, kills, hand-overs, steps of the wall clock. An oracle that shares no code with the balancer judges by what the peers saw, and at the end nothing may be left open, held or counted. A failing seed is shrunk and written to a file that `yewyoke faults replay` plays.

--- /dev/null
+++ b/src/main/java/yewyoke/faults/Fault.java
@@ -0,0 +1,48 @@
+package yewyoke.faults;
+
+/**
+ * One thing that goes wrong in a scenario.
+ *
+ * @param atMs when, from the start
+ * @param lenMs for how long
+ * @param target which upstream or zone
+ * @param size how much, from 0 to 1
+ */
+record Fault(Kind kind, long atMs, long lenMs, int target, double size) {
+    /** What can go wrong, with how often it is drawn. */
+    enum Kind {
+        /** An upstream's process dies and starts again after the time. */ DIE(4),
+        /** Its machine vanishes silently for the time. */ VANISH(3),
+        /** A whole zone vanishes silently. */ ZONE_VANISH(2),
+        /** A whole zone dies and comes back. */ ZONE_DIE(2),
+        /** Listed as draining, then ended and started again. */ DRAIN(4),
+        /** Replaced by one under another id at the same address. */ REPLACE(3),
+        /** Part of the requests are not answered. */ HANG(3),
+        /** Part of the answers are errors after the work. */ ERRORS(3),
+        /** Part of the requests are turned away unseen. */ FULL(3),
+        /** It breaks between the last byte of the request and the first of the answer. */ BREAK(3),
+        /** It breaks in the middle of the answer. */ BREAK_MID(2),
+        /** Noise in place of an answer. */ SPOILT(2),
+        /** A second answer right behind the first. */ TWICE(2),
+        /** Interim answers in front. */ INTERIM(1),
+        /** What an upstream sends arrives nowhere. */ MUTE(1),
+        /** Discovery is down: watches end, calls are refused. */ DISCOVERY_DOWN(2),
+        /** Discovery says things late. */ DISCOVERY_LATE(2),
+        /** Discovery tells an older list again. */ DISCOVERY_OLD(2),
+        /** Discovery breaks off in the middle of a line. */ DISCOVERY_TORN(2),
+        /** New settings with fewer attempts. */ RELOAD(3),
+        /** A file that can't be taken. */ RELOAD_BAD(1),
+        /** The process is killed and started again. */ KILL(1),
+        /** A successor takes over. */ HAND_OVER(2),
+        /** The wall clock steps. */ CLOCK_STEP(1),
+        /** Clients leave early. */ LEAVERS(2),
+        /** Clients send what is no request. */ RUDE(2),
+        /** Many more requests. */ BURST(2);
+
+        final int weight;
+
+        Kind(int weight) {
+            this.weight = weight;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/faults/Host.java
@@ -0,0 +1,18 @@
+package yewyoke.faults;
+
+/** A machine in the virtual network. */
+final class Host {
+    final String name;
+    /** Cut off: nothing gets to it or away from it, and nobody is told. */
+    boolean silent;
+    /** Cut off in one direction: what it sends arrives nowhere. */
+    boolean mute;
+
+    Host(String name) {
+        this.name = name;
+    }
+
+    @Override public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/faults/Plan.java
@@ -0,0 +1,64 @@
+package yewyoke.faults;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import yewyoke.lab.sim.Streams;
+
+/**
+ * A scenario: drawn from a seed, or read from a file that a shrunk failure was written to.
+ *
+ * @param upstreams how many, in two zones in turn
+ * @param rate requests a second
+ * @param lengthMs for how long clients ask
+ * @param cuts chance of a piece of bytes to be cut in two
+ */
+record Plan(long seed, int upstreams, double rate, long lengthMs, double cuts, List<Fault> faults) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    static Plan drawn(long seed) {
+        UniformRandomProvider random = new Streams(seed).of("plan");
+        int upstreams = 2 + random.nextInt(5);
+        double rate = 10 + random.nextInt(40);
+        long length = 4_000 + random.nextInt(5_000);
+        double cuts = random.nextDouble() < 0.5 ? 0 : random.nextDouble();
+        List<Fault> faults = new ArrayList<>();
+        int count = 1 + random.nextInt(5);
+        int weights = 0;
+        for (Fault.Kind k : Fault.Kind.values()) {
+            weights += k.weight;
+        }
+        for (int i = 0; i < count; i++) {
+            int at = random.nextInt(weights);
+            int kind = 0;
+            while (at >= Fault.Kind.values()[kind].weight) {
+                at -= Fault.Kind.values()[kind++].weight;
+            }
+            faults.add(new Fault(Fault.Kind.values()[kind], 500 + random.nextInt((int) length),
+                    100 + random.nextInt(3_000), random.nextInt(upstreams), 0.1 + 0.9 * random.nextDouble()));
+        }
+        faults.sort(Comparator.comparingLong(Fault::atMs));
+        return new Plan(seed, upstreams, rate, length, cuts, faults);
+    }
+
+    Plan without(int index) {
+        List<Fault> fewer = new ArrayList<>(faults);
+        fewer.remove(index);
+        return new Plan(seed, upstreams, rate, lengthMs, cuts, fewer);
+    }
+
+    @JsonIgnore
+    String text() throws IOException {
+        return JSON.writerWithDefaultPrettyPrinter().writeValueAsString(this) + "\n";
+    }
+
+    static Plan read(Path file) throws IOException {
+        return JSON.readValue(Files.readString(file), Plan.class);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/faults/VirtualLoop.java
@@ -0,0 +1,145 @@
+package yewyoke.faults;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.DefaultChannelPromise;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.AbstractScheduledEventExecutor;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+/** The event loop of one process in virtual time; it runs when the timeline says so, and nothing wakes it. */
+final class VirtualLoop extends AbstractScheduledEventExecutor implements EventLoop {
+    /** More tasks than that at one instant are a loop without end. */
+    private static final int MOST_AT_ONCE = 1_000_000;
+
+    private final Timeline timeline;
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private boolean dead;
+    private int atOnce;
+    private long atOnceTime = -1;
+
+    VirtualLoop(Timeline timeline) {
+        this.timeline = timeline;
+        timeline.add(this);
+    }
+
+    @Override public Ticker ticker() {
+        return timeline;
+    }
+
+    /** The process is killed: whatever it was about to do never happens. */
+    void kill() {
+        dead = true;
+        tasks.clear();
+        cancelScheduledTasks();
+    }
+
+    boolean isDead() {
+        return dead;
+    }
+
+    @Override public void execute(Runnable task) {
+        if (!dead) {
+            tasks.add(task);
+        }
+    }
+
+    /** When the next task is due, in nanoseconds; {@code Long.MAX_VALUE} for never. */
+    long nextDue() {
+        long deadline = dead ? -1 : nextScheduledTaskDeadlineNanos();
+        return deadline < 0 ? Long.MAX_VALUE : deadline;
+    }
+
+    /** Runs all that is due; whether there was anything. */
+    boolean runDue() {
+        boolean any = false;
+        while (!dead) {
+            Runnable task = pollScheduledTask(timeline.nanoTime());
+            if (task != null) {
+                tasks.add(task);
+                continue;
+            }
+            task = tasks.poll();
+            if (task == null) {
+                break;
+            }
+            any = true;
+            guard();
+            safeExecute(task);
+        }
+        return any;
+    }
+
+    private void guard() {
+        if (atOnceTime != timeline.nanoTime()) {
+            atOnceTime = timeline.nanoTime();
+            atOnce = 0;
+        }
+        if (++atOnce > MOST_AT_ONCE) {
+            throw new IllegalStateException("the loop does not come to rest");
+        }
+    }
+
+    @Override public EventLoopGroup parent() {
+        return (EventLoopGroup) super.parent();
+    }
+
+    @Override public EventLoop next() {
+        return (EventLoop) super.next();
+    }
+
+    @Override public boolean inEventLoop(Thread thread) {
+        return true; // everything in a world is on one thread
+    }
+
+    @Override public ChannelFuture register(Channel channel) {
+        return register(new DefaultChannelPromise(channel, this));
+    }
+
+    @Override public ChannelFuture register(ChannelPromise promise) {
+        promise.channel().unsafe().register(this, promise);
+        return promise;
+    }
+
+    @Deprecated
+    @Override public ChannelFuture register(Channel channel, ChannelPromise promise) {
+        channel.unsafe().register(this, promise);
+        return promise;
+    }
+
+    @Override public Future<?> shutdownGracefully(long quietPeriod, long timeout, TimeUnit unit) {
+        kill();
+        return newSucceededFuture(null);
+    }
+
+    @Override public Future<?> terminationFuture() {
+        return newSucceededFuture(null);
+    }
+
+    @Deprecated
+    @Override public void shutdown() {
+        kill();
+    }
+
+    @Override public boolean isShuttingDown() {
+        return dead;
+    }
+
+    @Override public boolean isShutdown() {
+        return dead;
+    }
+
+    @Override public boolean isTerminated() {
+        return dead;
+    }
+
+    @Override public boolean awaitTermination(long timeout, TimeUnit unit) {
+        return dead;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/faults/World.java
@@ -0,0 +1,304 @@
+package yewyoke.faults;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import yewyoke.adapter.BadInput;
+import yewyoke.lab.sim.Streams;
+
+/** One run: the real balancer's code, scripted peers, a plan's faults, and checks after every step. */
+final class World {
+    static final InetSocketAddress LISTEN = address(1, 1, 9600);
+    private static final long WINDOW = 1_200_000;
+    private static final long GRACE = 2_000_000;
+    private static final long MOST_DELAY = 600;
+    private static final int ATTEMPTS = 3;
+
+    final Timeline timeline = new Timeline(this::afterStep);
+    final VirtualNetwork network;
+    final Oracle oracle;
+    final List<Upstream> upstreams = new ArrayList<>();
+    final Host clients = new Host("clients");
+    final Discovery discovery;
+    final Map<String, Integer> answers = new TreeMap<>();
+    int maxAttempts = ATTEMPTS;
+    double leaving;
+    private final Plan plan;
+    private final Streams streams;
+    private final StringBuilder trace = new StringBuilder();
+    private final List<Process> processes = new ArrayList<>();
+    private String config;
+    private boolean stopping;
+    private boolean killed;
+    private double burst = 1;
+    private long ids;
+
+    /** What a run showed. */
+    record Outcome(Plan plan, List<String> breaches, String trace, int requests, long answered,
+            long steps) { }
+
+    World(Plan plan) {
+        this.plan = plan;
+        streams = new Streams(plan.seed());
+        network = new VirtualNetwork(timeline, streams.of("network"));
+        network.quality(200, 300, plan.cuts());
+        oracle = new Oracle(timeline, WINDOW, GRACE, MOST_DELAY);
+        discovery = new Discovery(this);
+        for (int i = 0; i < plan.upstreams(); i++) {
+            upstreams.add(new Upstream(this, i, streams.of("upstream/" + i)));
+        }
+        config = config(ATTEMPTS);
+    }
+
+    static InetSocketAddress address(int net, int number, int port) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, (byte) net,
+                (byte) number}), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("an address of four bytes is one", e);
+        }
+    }
+
+    static Outcome play(Plan plan) {
+        World world = new World(plan);
+        world.run();
+        return new Outcome(plan, world.oracle.breaches, world.trace.toString(), world.oracle.requests(),
+                world.oracle.answered(), world.timeline.steps());
+    }
+
+    void trace(String what) {
+        trace.append(timeline.micros()).append(' ').append(what).append('\n');
+    }
+
+    long nextId() {
+        return ids++;
+    }
+
+    private void run() {
+        start();
+        for (Fault f : plan.faults()) {
+            timeline.at(f.atMs() * 1_000, () -> strike(f));
+        }
+        UniformRandomProvider arrivals = streams.of("arrivals");
+        UniformRandomProvider talk = streams.of("clients");
+        timeline.in(300_000, () -> arrive(arrivals, talk));
+        long end = plan.lengthMs() * 1_000 + 4_000_000;
+        timeline.runUntil(end);
+        finish(end);
+    }
+
+    private void arrive(UniformRandomProvider arrivals, UniformRandomProvider talk) {
+        if (timeline.micros() > plan.lengthMs() * 1_000 || stopping) {
+            return;
+        }
+        new Client(this, talk, 1 + talk.nextInt(4), talk.nextDouble() < rude).connect();
+        double gap = -Math.log(1 - arrivals.nextDouble()) * 1e6 / (plan.rate() * burst / 2);
+        timeline.in((long) gap, () -> arrive(arrivals, talk));
+    }
+
+    private double rude;
+
+    // ---- The balancer --------------------------------------------------------------------------------
+
+    private String config(int attempts) {
+        StringBuilder known = new StringBuilder();
+        for (Upstream u : upstreams) {
+            known.append(known.isEmpty() ? "" : ",").append(Discovery.entry(u, u.id, "Ready"));
+        }
+        return "{\"listen\":\"" + text(LISTEN) + "\",\"discovery\":\"" + text(discovery.address)
+                + "\",\"seed\":\"" + Long.toHexString(plan.seed() & 0xFFFF)
+                + "\",\"limits\":{\"sockets\":512},\"known\":{\"version\":0,\"full\":true,\"servers\":["
+                + known + "]},\"settings\":{\"az\":0,"
+                + "\"localities\":[\"z0\",\"z1\"],\"kinds\":[\"k\"],\"group-size\":1,\"classes\":["
+                + cls("lookup", "free", "0.5") + "," + cls("push", "guarded", "0.5") + ","
+                + cls("once", "single_shot", "0.5") + "],\"parties\":[{\"name\":\"acme\",\"share\":1}],"
+                + "\"ceilings\":{\"try-limit\":" + attempts + ",\"cancel\":true,\"may-duplicate\":true,"
+                + "\"probes\":false,\"max-open\":200,\"retry-after\":true,\"max-retry-after-s\":2,"
+                + "\"connect-timeout-s\":0.25,\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,"
+                + "\"ask-within-s\":10,\"drain-grace-s\":2,\"cold-s\":3,\"start-capacity\":0.3,"
+                + "\"fall-multiple\":3,\"fall-s\":3},\"report\":{\"names\":[\"cpu\"],\"via\":\"piggyback\"},"
+                + "\"prices\":{},\"tick-s\":0.001,\"discovery\":\"pushed\"}}";
+    }
+
+    private static String cls(String name, String repeat, String aim) {
+        return "{\"name\":\"" + name + "\",\"repeat\":\"" + repeat + "\",\"dedup-scope\":\"all\","
+                + "\"memory-span-s\":1.2,\"aim-s\":" + aim
+                + ",\"give-up-s\":2,\"worth\":1,\"late-worth\":0.5}";
+    }
+
+    private static String text(InetSocketAddress a) {
+        return a.getAddress().getHostAddress() + ":" + a.getPort();
+    }
+
+    private Process start() {
+        Process p = new Process(this, processes.size(), streams.seedOf("process/" + processes.size()));
+        processes.add(p);
+        try {
+            p.start(config.getBytes(StandardCharsets.UTF_8));
+        } catch (BadInput | IOException e) {
+            throw new IllegalStateException("the scenario's configuration is bad", e);
+        }
+        return p;
+    }
+
+    byte[] configBytes() {
+        return config.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Whether another process than this one lives. */
+    boolean hasTwin(Process of) {
+        return processes.stream().anyMatch(p -> p != of && p.lives());
+    }
+
+    private Process current() {
+        return processes.get(processes.size() - 1);
+    }
+
+    /** Requests whose process was killed, or that came while it ended, are nobody's fault here. */
+    boolean excuses(Oracle.Seen seen) {
+        return killed || stopping;
+    }
+
+    // ---- Faults --------------------------------------------------------------------------------------
+
+    private void strike(Fault f) {
+        trace("fault " + f.kind() + " " + f.target() + " for " + f.lenMs() + " ms");
+        long len = f.lenMs() * 1_000;
+        Upstream u = upstreams.get(f.target() % upstreams.size());
+        switch (f.kind()) {
+            case DIE -> die(u, len, u.id);
+            case REPLACE -> die(u, len, u.id + "'");
+            case VANISH -> vanish(List.of(u), len);
+            case ZONE_VANISH -> vanish(upstreams.stream().filter(v -> v.zone == f.target() % 2).toList(),
+                    len);
+            case ZONE_DIE -> upstreams.stream().filter(v -> v.zone == f.target() % 2)
+                    .forEach(v -> die(v, len, v.id));
+            case DRAIN -> drain(u, Math.max(len, 2_500_000));
+            case MUTE -> {
+                u.host.mute = true;
+                timeline.in(len, () -> u.host.mute = false);
+            }
+            case HANG, ERRORS, FULL, BREAK, BREAK_MID, SPOILT, TWICE, INTERIM -> {
+                u.trouble(f.kind(), f.size());
+                timeline.in(len, () -> u.trouble(f.kind(), 0));
+            }
+            case DISCOVERY_DOWN -> {
+                discovery.down(true);
+                timeline.in(len, () -> discovery.down(false));
+            }
+            case DISCOVERY_LATE -> {
+                discovery.late = len;
+                timeline.in(len, () -> discovery.late = 0);
+            }
+            case DISCOVERY_OLD -> discovery.tellOld();
+            case DISCOVERY_TORN -> discovery.tornNext = true;
+            default -> strikeProcess(f, len);
+        }
+    }
+
+    private void strikeProcess(Fault f, long len) {
+        switch (f.kind()) {
+            case RELOAD -> {
+                config = config(1 + (int) (f.size() * 2));
+                current().reload();
+            }
+            case RELOAD_BAD -> {
+                String good = config;
+                config = good.substring(0, (int) (good.length() * f.size()));
+                current().reload();
+                config = good;
+            }
+            case KILL -> {
+                killed = true;
+                oracle.forgotten();
+                current().kill();
+                timeline.in(len, this::start);
+            }
+            case HAND_OVER -> handOver();
+            case CLOCK_STEP -> current().transport.stepWallClock((long) ((f.size() - 0.5) * 10_000));
+            case LEAVERS -> {
+                leaving = f.size();
+                timeline.in(len, () -> leaving = 0);
+            }
+            case RUDE -> {
+                rude = f.size() / 2;
+                timeline.in(len, () -> rude = 0);
+            }
+            case BURST -> {
+                burst = 1 + 4 * f.size();
+                timeline.in(len, () -> burst = 1);
+            }
+            default -> throw new IllegalStateException("unknown fault " + f.kind());
+        }
+    }
+
+    private void die(Upstream u, long len, String as) {
+        if (!u.alive) {
+            return;
+        }
+        String id = u.id;
+        u.die();
+        discovery.tell(u, id, "Gone", 300_000);
+        timeline.in(len, () -> {
+            if (!u.alive) {
+                u.startAgain(as);
+                discovery.tell(u, as, "Ready", 200_000);
+            }
+        });
+    }
+
+    private void vanish(List<Upstream> lost, long len) {
+        lost.forEach(u -> u.host.silent = true);
+        timeline.in(len, () -> lost.forEach(u -> {
+            u.host.silent = false;
+            network.breakAll(u.host); // what was sent meanwhile is lost, and back up it says so
+        }));
+    }
+
+    private void drain(Upstream u, long len) {
+        if (!u.alive || u.draining) {
+            return;
+        }
+        u.draining = true;
+        discovery.tell(u, u.id, "Terminating", 100_000);
+        timeline.in(len, () -> {
+            if (u.draining) {
+                die(u, 500_000, u.id);
+            }
+        });
+    }
+
+    private void handOver() {
+        Process old = current();
+        if (!old.lives() || old.isStopping()) {
+            return;
+        }
+        Process next = start();
+        next.whenListening(old::stop);
+    }
+
+    // ---- Checks --------------------------------------------------------------------------------------
+
+    private void afterStep() {
+        for (Process p : processes) {
+            p.check(oracle);
+        }
+    }
+
+    /** Ends in order; then nothing may be left of it. */
+    private void finish(long end) {
+        stopping = true;
+        processes.stream().filter(p -> p.lives() && !p.isStopping()).forEach(Process::stop);
+        timeline.runUntil(end + 12_000_000);
+        for (Process p : processes) {
+            p.checkEnd(oracle);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/faults/NamedScenariosTest.java
@@ -0,0 +1,129 @@
+package yewyoke.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.logging.LogSettings;
+import yewyoke.logging.Logs;
+
+/** The hard cases, each as a scenario of its own. */
+class NamedScenariosTest {
+    @BeforeAll
+    static void quiet() {
+        Logs.use(LogSettings.of("plain", List.of("off")));
+    }
+
+    @AfterAll
+    static void loud() {
+        Logs.use(LogSettings.PLAIN);
+    }
+
+    private static World.Outcome play(long seed, double cuts, Fault... faults) {
+        World.Outcome o = Campaign.play(new Plan(seed, 4, 30, 6_000, cuts, Arrays.asList(faults)));
+        assertEquals(List.of(), o.breaches());
+        assertTrue(o.requests() > 100, "seed " + seed + " asked " + o.requests());
+        return o;
+    }
+
+    private static Fault fault(Fault.Kind kind, long at, long len, int target, double size) {
+        return new Fault(kind, at, len, target, size);
+    }
+
+    private static long count(World.Outcome o, String text) {
+        return o.trace().lines().filter(l -> l.contains(text)).count();
+    }
+
+    @Test
+    void withoutFaultsEverythingIsServed() {
+        World.Outcome o = play(1, 0);
+        assertEquals(o.requests(), count(o, "client got 200"));
+    }
+
+    @Test
+    void aZoneIsLostDuringADrain() {
+        for (long seed = 1; seed <= 15; seed++) {
+            play(seed, 0, fault(Fault.Kind.DRAIN, 1_500, 3_000, 0, 1),
+                    fault(Fault.Kind.ZONE_VANISH, 2_500, 2_500, 1, 1));
+        }
+    }
+
+    @Test
+    void aWatchAnswersWithAnOlderVersion() {
+        for (long seed = 1; seed <= 15; seed++) {
+            play(seed, 0.5, fault(Fault.Kind.DIE, 1_000, 1_500, 1, 1),
+                    fault(Fault.Kind.DISCOVERY_OLD, 2_000, 0, 0, 1),
+                    fault(Fault.Kind.DISCOVERY_OLD, 3_500, 0, 0, 1));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"BREAK", "BREAK_MID", "SPOILT", "TWICE", "HANG", "ERRORS", "FULL", "INTERIM"})
+    void anUpstreamFailsEveryRequestInOneWay(String kind) {
+        for (long seed = 1; seed <= 6; seed++) {
+            World.Outcome o = play(seed, 0.3, fault(Fault.Kind.valueOf(kind), 1_000, 3_000, 0, 1),
+                    fault(Fault.Kind.valueOf(kind), 1_500, 2_000, 1, 1));
+            assertTrue(count(o, "client got 200") > 0.5 * o.requests(), kind);
+        }
+    }
+
+    /** Attempts are lowered between an attempt's end and its repeat: open requests keep the old number. */
+    @Test
+    void newSettingsComeBetweenAnAttemptAndItsRepeat() {
+        for (long seed = 1; seed <= 15; seed++) {
+            play(seed, 0, fault(Fault.Kind.ERRORS, 800, 4_000, 0, 0.8),
+                    fault(Fault.Kind.ERRORS, 800, 4_000, 1, 0.8),
+                    fault(Fault.Kind.RELOAD, 2_000, 0, 0, 0), fault(Fault.Kind.RELOAD_BAD, 3_000, 0, 0, 0.5));
+        }
+    }
+
+    @Test
+    void aSuccessorTakesOverWhileAServerIsColdAndAnotherDrains() {
+        for (long seed = 1; seed <= 15; seed++) {
+            World.Outcome o = play(seed, 0, fault(Fault.Kind.DIE, 1_000, 800, 0, 1),
+                    fault(Fault.Kind.DRAIN, 1_800, 3_000, 2, 1), fault(Fault.Kind.HAND_OVER, 2_000, 0, 0, 1));
+            assertEquals(1, count(o, "balancer1 listens true"));
+            assertEquals(1, count(o, "balancer0 has stopped"));
+        }
+    }
+
+    @Test
+    void clientsLeaveWhileTheirBodiesAreStreamed() {
+        for (long seed = 1; seed <= 15; seed++) {
+            World.Outcome o = play(seed, 0.8, fault(Fault.Kind.LEAVERS, 500, 5_000, 0, 1),
+                    fault(Fault.Kind.VANISH, 1_500, 2_000, 1, 1));
+            assertTrue(count(o, "client leaves") > 5);
+        }
+    }
+
+    /** Nothing comes back from there and nothing is taken: a large body stops half way. */
+    @Test
+    void aLargeBodyIsHeldUpByAnUpstreamThatTakesNothing() {
+        for (long seed = 1; seed <= 40; seed++) {
+            play(seed, 0, fault(Fault.Kind.ZONE_VANISH, 1_000, 5_000, (int) seed, 1));
+        }
+    }
+
+    @Test
+    void theProcessIsKilledAndStartsFromAnOldListWithoutDiscovery() {
+        for (long seed = 1; seed <= 15; seed++) {
+            play(seed, 0, fault(Fault.Kind.REPLACE, 1_000, 500, 1, 1),
+                    fault(Fault.Kind.KILL, 2_000, 300, 0, 1),
+                    fault(Fault.Kind.DISCOVERY_DOWN, 1_900, 2_000, 0, 1));
+        }
+    }
+
+    @Test
+    void theWallClockStepsWhileServersStart() {
+        for (long seed = 1; seed <= 15; seed++) {
+            play(seed, 0, fault(Fault.Kind.CLOCK_STEP, 900, 0, 0, 1), fault(Fault.Kind.DIE, 1_000, 500, 1, 1),
+                    fault(Fault.Kind.CLOCK_STEP, 2_000, 0, 0, 0));
+        }
+    }
+}
