Move settings and bad input out of the adapter, and hold the directions of imports by tests

The balancer leaned on the simulator's adapter to read its settings, and nothing but care kept packages apart while three fronts are to come. SettingsReader and BadInput live in yewyoke.settings; ArchUnit rules hold that decisions know nothing else, settings and adapter no sockets, service no tools, the laboratory no network, the checkers not the module, and that time and sockets are handed in.

--- a/src/main/java/yewyoke/adapter/Adapter.java
+++ b/src/main/java/yewyoke/adapter/Adapter.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import yewyoke.Balance;
 import yewyoke.Balancer;
+import yewyoke.settings.BadInput;
 
 /** Command line: {@code adapter} reads batches on standard input and writes a reply for each. */
 public final class Adapter {
--- a/src/main/java/yewyoke/adapter/Batches.java
+++ b/src/main/java/yewyoke/adapter/Batches.java
@@ -12,6 +12,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yewyoke.Balancer.AttemptEnd;
 import yewyoke.Balancer.ListKind;
 import yewyoke.Balancer.LoadReport;
@@ -20,9 +21,13 @@
 import yewyoke.Balancer.Settings;
 import yewyoke.Balancer.State;
 import yewyoke.Balancer.Upstream;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /** Reads one batch at a time and hands its events to the instances. */
 final class Batches {
+    private static final Set<String> EVENTS = Set.of("create", "destroy", "sync", "work-item", "answer",
+            "ping-result", "client-gone", "opened", "reminder", "whisper");
     private static final JsonFactory JSON = JsonFactory.builder()
             .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION).build();
     private static final Outcome[] OUTCOMES = Outcome.values();
@@ -91,7 +96,7 @@
                     if (inputFirst) {
                         json.skipChildren();
                     } else {
-                        events(json, micros(now));
+                        events(json, SettingsReader.micros(now));
                     }
                 } else {
                     json.skipChildren();
@@ -110,7 +115,7 @@
             throw new BadInput("no array of events (input)");
         }
         if (inputFirst) {
-            again(line, length, micros(now));
+            again(line, length, SettingsReader.micros(now));
         }
         return replies.end();
     }
@@ -264,12 +269,12 @@
         }
         required(id != null, "upstream (in elements)");
         required(state != null, "readiness (in elements)");
-        return new Upstream(id, zone, kind, cell, state, rating, micros(launched));
+        return new Upstream(id, zone, kind, cell, state, rating, SettingsReader.micros(launched));
     }
 
     private void dispatch(Event e, long now) throws BadInput {
         required(e.kind != null, "kind");
-        if (!SettingsReader.EVENTS.contains(e.kind)) {
+        if (!EVENTS.contains(e.kind)) {
             err.println("skipped an event of unknown kind " + e.kind);
             return;
         }
@@ -322,7 +327,8 @@
         required(!Double.isNaN(e.budget), "time-budget-s");
         int lane = whole(e.lane, "lane");
         Request request = new Request(e.corr, lane, Double.isNaN(e.party) ? 0 : (int) e.party, e.entity,
-                Double.isNaN(e.effort) ? 0 : micros(e.effort), micros(e.budget), e.write, e.retry);
+                Double.isNaN(e.effort) ? 0 : SettingsReader.micros(e.effort),
+                SettingsReader.micros(e.budget), e.write, e.retry);
         desk.tell(who, b -> b.request(now, request));
     }
 
@@ -356,7 +362,7 @@
 
     private static long took(Event e) throws BadInput {
         required(!Double.isNaN(e.took), "took-s");
-        return micros(e.took);
+        return SettingsReader.micros(e.took);
     }
 
     private static Outcome outcome(Event e) throws BadInput {
@@ -383,10 +389,6 @@
         return new LoadReport(r[0], r[1], r[2], r[3] * 1_000, r[4], r[5]);
     }
 
-    static long micros(double seconds) {
-        return Math.round(seconds * 1e6);
-    }
-
     private static void required(boolean there, String field) throws BadInput {
         if (!there) {
             throw new BadInput("field " + field + " is missing or not understood");
--- a/src/main/java/yewyoke/adapter/Desk.java
+++ b/src/main/java/yewyoke/adapter/Desk.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import yewyoke.Balancer;
+import yewyoke.settings.BadInput;
 
 /** Keeps one module for each instance and hands it its events; they share nothing. */
 final class Desk {
--- a/src/main/java/yewyoke/cli/CheckCommand.java
+++ b/src/main/java/yewyoke/cli/CheckCommand.java
@@ -6,7 +6,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 import yewyoke.lab.scenario.BadScenario;
 import yewyoke.node.ConfigCheck;
 
--- a/src/main/java/yewyoke/faults/Process.java
+++ b/src/main/java/yewyoke/faults/Process.java
@@ -4,7 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 import yewyoke.node.Config;
 import yewyoke.node.Node;
 import yewyoke.node.Twin;
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 import yewyoke.lab.sim.Streams;
 
 /** One run: the real balancer's code, scripted peers, a plan's faults, and checks after every step. */
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -19,7 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.SettingsReader;
 import yewyoke.transport.Listening;
 import yewyoke.transport.Transport;
 
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -10,8 +10,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import yewyoke.SettingsCheck;
-import yewyoke.adapter.BadInput;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /**
  * What this balancer is told at its start: addresses, limits, the list as last held, and the settings.
--- a/src/main/java/yewyoke/node/ConfigCheck.java
+++ b/src/main/java/yewyoke/node/ConfigCheck.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 
 /** Looks at a configuration without starting a balancer on it. */
 public final class ConfigCheck {
--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -33,7 +33,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.ListKind;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 import yewyoke.transport.Transport;
 
 /** Follows the list of upstreams: one watch, kept open from the version known, and single lists if asked. */
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -26,7 +26,7 @@
 import yewyoke.Balancer.LoadReport;
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.Request;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.SettingsReader;
 import yewyoke.node.Upstreams.Answer;
 import yewyoke.ops.Figures;
 import yewyoke.ops.Figures.Ending;
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -12,7 +12,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
 import yewyoke.adapter.Adapter;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 import yewyoke.logging.Logs;
 import yewyoke.ops.Door;
 import yewyoke.ops.Figures;
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -8,7 +8,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 import yewyoke.ops.Figures;
 import yewyoke.transport.SocketTransport;
 import yewyoke.transport.Transport;
--- a/src/main/java/yewyoke/node/RequestCheck.java
+++ b/src/main/java/yewyoke/node/RequestCheck.java
@@ -13,8 +13,8 @@
 import yewyoke.Balancer.Effect;
 import yewyoke.Balancer.Request;
 import yewyoke.Balancer.RequestClass;
-import yewyoke.adapter.BadInput;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /**
  * Checks what a client sends against the protocol. Whatever an upstream would turn away, or close on, is no
--- a/src/main/java/yewyoke/node/ServerList.java
+++ b/src/main/java/yewyoke/node/ServerList.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import yewyoke.Balancer.State;
 import yewyoke.Balancer.Upstream;
-import yewyoke.adapter.BadInput;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /** A list of upstreams, or changes of it, in discovery's form. */
 record ServerList(long version, boolean full, List<Entry> entries) {
--- a/src/main/java/yewyoke/node/Session.java
+++ b/src/main/java/yewyoke/node/Session.java
@@ -31,7 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.Request;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 
 /** One client connection; answers go out in the order of its requests. */
 final class Session extends SimpleChannelInboundHandler<HttpObject>
--- a/src/main/java/yewyoke/adapter/BadInput.java
+++ b/src/main/java/yewyoke/settings/BadInput.java
@@ -1,6 +1,6 @@
-package yewyoke.adapter;
+package yewyoke.settings;
 
-/** A line of input that is not what the wire prescribes; the message says what is wrong with it. */
+/** Input that is not what a wire, a protocol or a file prescribes; the message says what is wrong. */
 public final class BadInput extends Exception {
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/yewyoke/adapter/SettingsReader.java
+++ b/src/main/java/yewyoke/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package yewyoke.adapter;
+package yewyoke.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import yewyoke.Balancer.Effect;
 import yewyoke.Balancer.Limits;
 import yewyoke.Balancer.Prices;
@@ -21,9 +20,6 @@
 
 /** Reads the settings that an instance is created with. Keys it does not know are skipped. */
 public final class SettingsReader {
-    static final Set<String> EVENTS = Set.of("create", "destroy", "sync", "work-item", "answer",
-            "ping-result",
-            "client-gone", "opened", "reminder", "whisper");
     /** The values of a load report, in the order of the fields of the module's record. */
     public static final List<String> REPORTED =
             List.of("cpu", "active", "waiting", "avg_ms", "rps", "err_rps");
@@ -39,6 +35,11 @@
 
     private SettingsReader() { }
 
+    /** Seconds as the module has them: whole microseconds. */
+    public static long micros(double seconds) {
+        return Math.round(seconds * 1e6);
+    }
+
     /**
      * What was found: the settings for the module, and names. The wire gives classes, tenants, zones and
      * kinds by their place in these lists, the sockets by name.
@@ -58,7 +59,7 @@
         }
 
         long time(String name) {
-            return Batches.micros(number(name, 0));
+            return micros(number(name, 0));
         }
 
         boolean flag(String name) {
--- a/src/main/java/yewyoke/settings/package-info.java
+++ b/src/main/java/yewyoke/settings/package-info.java
@@ -1,2 +1,2 @@
-/** Files that operators write for themselves, beside the configuration that the platform writes. */
+/** Settings as the platform words them, and the file that operators write for themselves. */
 package yewyoke.settings;
--- /dev/null
+++ b/src/test/java/yewyoke/DirectionsTest.java
@@ -0,0 +1,67 @@
+package yewyoke;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/** Which packages may know of which; arrows of import go downward only. */
+@AnalyzeClasses(packages = "yewyoke", importOptions = ImportOption.DoNotIncludeTests.class)
+class DirectionsTest {
+    private static final String[] TOOLS = {"yewyoke.cli..", "yewyoke.lab..", "yewyoke.faults.."};
+
+    @ArchTest
+    static final ArchRule DECISIONS_KNOW_NOTHING_ELSE = classes().that().resideInAPackage("yewyoke")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("yewyoke", "java.lang..", "java.util..");
+
+    @ArchTest
+    static final ArchRule SETTINGS_KNOW_THE_DECISIONS_AND_LOGGING = noClasses().that()
+            .resideInAnyPackage("yewyoke.settings..", "yewyoke.logging..").should().dependOnClassesThat()
+            .resideInAnyPackage("yewyoke.node..", "yewyoke.adapter..", "yewyoke.ops..", "yewyoke.transport..",
+                    "yewyoke.cli..", "yewyoke.lab..", "yewyoke.faults..", "io.netty..");
+
+    @ArchTest
+    static final ArchRule THE_ADAPTER_KNOWS_NO_SOCKETS = noClasses().that()
+            .resideInAPackage("yewyoke.adapter..").should().dependOnClassesThat()
+            .resideInAnyPackage("yewyoke.node..", "yewyoke.ops..", "yewyoke.transport..", "yewyoke.lab..",
+                    "yewyoke.faults..", "yewyoke.cli..", "io.netty..");
+
+    @ArchTest
+    static final ArchRule SERVICE_KNOWS_NO_TOOLS = noClasses().that()
+            .resideInAnyPackage("yewyoke.node..", "yewyoke.ops..", "yewyoke.transport..")
+            .should().dependOnClassesThat().resideInAnyPackage(TOOLS);
+
+    @ArchTest
+    static final ArchRule ONLY_MAIN_STARTS_THE_ADAPTER = noClasses().that()
+            .resideInAnyPackage("yewyoke.node..").and().doNotHaveSimpleName("Main")
+            .should().dependOnClassesThat().resideInAPackage("yewyoke.adapter..");
+
+    @ArchTest
+    static final ArchRule THE_LABORATORY_KNOWS_NO_NETWORK = noClasses().that()
+            .resideInAPackage("yewyoke.lab..").should().dependOnClassesThat()
+            .resideInAnyPackage("yewyoke.node..", "yewyoke.adapter..", "yewyoke.ops..",
+                    "yewyoke.transport..", "yewyoke.faults..", "io.netty..", "picocli..");
+
+    @ArchTest
+    static final ArchRule THE_CHECKERS_SHARE_NOTHING_WITH_THE_MODULE = noClasses().that()
+            .haveSimpleName("RuleOracle").or().haveSimpleName("Oracle")
+            .should().dependOnClassesThat().haveSimpleName("Balance");
+
+    /** The exceptions measure themselves in real time, and say so. */
+    @ArchTest
+    static final ArchRule TIME_IS_HANDED_IN = noClasses().that()
+            .resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.adapter..", "yewyoke.lab.sim..",
+                    "yewyoke.faults..").and().doNotHaveFullyQualifiedName("yewyoke.node.Rehearsal").and()
+            .doNotHaveFullyQualifiedName("yewyoke.lab.sim.World").and()
+            .doNotHaveFullyQualifiedName("yewyoke.lab.sim.Gateway")
+            .should().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    static final ArchRule SOCKETS_ARE_HANDED_IN = noClasses().that().resideInAPackage("yewyoke.node..")
+            .should().dependOnClassesThat().areAssignableTo(NioSocketChannel.class);
+}
