--- a/src/main/java/yewyoke/faults/Client.java
+++ b/src/main/java/yewyoke/faults/Client.java
@@ -145,7 +145,11 @@
                 : "bad_gateway", 1, Integer::sum);
         open = null;
         reused = true;
-        boolean last = "close".equalsIgnoreCase(answer.header("connection")) || left == 0;
+        boolean told = "close".equalsIgnoreCase(answer.header("connection"));
+        if (!told && world.hasHandedOver(end.other().host())) {
+            world.oracle.broken("end", "a process that hands over kept its client");
+        }
+        boolean last = told || left == 0;
         if (last && !end.isClosed()) {
             end.close();
             if (left > 0) {
--- a/src/main/java/yewyoke/faults/Discovery.java
+++ b/src/main/java/yewyoke/faults/Discovery.java
@@ -36,6 +36,14 @@
     /** Something has become of an upstream; watches hear of it after the time that discovery takes. */
     void tell(Upstream u, String id, String state, long after) {
         String entry = entry(u, id, state);
+        if (!state.equals("Ready")) {
+            // Whether or not it arrives, such a word counts as told by then.
+            world.timeline.in(after + late + Oracle.LATEST_WORD, () -> {
+                if (u.id.equals(id) && (u.draining || !u.alive)) {
+                    world.oracle.toldClosed(id);
+                }
+            });
+        }
         world.timeline.in(after + late, () -> {
             changes.add(new Change(changes.size() + 1, entry, id, state.equals("Ready")));
             List.copyOf(watches).forEach(Watch::update);
--- a/src/main/java/yewyoke/faults/Oracle.java
+++ b/src/main/java/yewyoke/faults/Oracle.java
@@ -13,7 +13,8 @@
     /** What the sockets may add to every limit. */
     private static final long SLACK = 50_000;
     private static final long ANSWER_SLACK = 20_000;
-    private static final long LATEST_WORD = 6_000_000;
+    /** What discovery has to tell counts as told this much later at the latest. */
+    static final long LATEST_WORD = 6_000_000;
     /** An answer that has begun may pause for 10 s before it is broken off. */
     private static final long LONGEST_PAUSE = 11_000_000;
 
--- a/src/main/java/yewyoke/faults/Process.java
+++ b/src/main/java/yewyoke/faults/Process.java
@@ -21,6 +21,7 @@
     private Future<Void> stopped;
     private Runnable onListening;
     private boolean dead;
+    private long stopAt;
 
     Process(World world, int number, long seed) {
         this.world = world;
@@ -61,6 +62,15 @@
         return !dead && (stopped == null || !stopped.isDone());
     }
 
+    boolean is(Host which) {
+        return host == which;
+    }
+
+    /** Microseconds since it was told to stop; -1 if it was not. */
+    long stoppingFor() {
+        return stopped == null ? -1 : world.timeline.micros() - stopAt;
+    }
+
     boolean isStopping() {
         return stopped != null;
     }
@@ -74,6 +84,7 @@
     void stop() {
         if (!dead && stopped == null) {
             world.trace(host + " is told to stop");
+            stopAt = world.timeline.micros();
             stopped = node.stop();
             stopped.addListener(f -> {
                 world.trace(host + " has stopped");
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -157,6 +157,11 @@
         return processes.stream().anyMatch(p -> p != of && p.lives());
     }
 
+    /** Whether that process was told to stop a while ago, and another one is there for its clients. */
+    boolean hasHandedOver(Host host) {
+        return processes.stream().anyMatch(p -> p.is(host) && p.stoppingFor() > 100_000 && hasTwin(p));
+    }
+
     private Process current() {
         return processes.get(processes.size() - 1);
     }
@@ -180,7 +185,7 @@
                     len);
             case ZONE_DIE -> upstreams.stream().filter(v -> v.zone == f.target() % 2)
                     .forEach(v -> die(v, len, v.id));
-            case DRAIN -> drain(u, Math.max(len, 2_500_000));
+            case DRAIN -> drain(u, 2_500_000 + 3 * len); // also long enough for a word that did not arrive
             case MUTE -> {
                 u.host.mute = true;
                 timeline.in(len, () -> u.host.mute = false);
