Drop what nobody reads from the emulator's counts and the fault player

A reading of the whole change found counts that are only written (taken tries, peer messages, accepted work), arguments and fields that nothing uses in the oracle's attempts, the process and its reader, and Netty's log set up in three places of one command.

--- a/src/main/java/yewyoke/cli/FaultsCommand.java
+++ b/src/main/java/yewyoke/cli/FaultsCommand.java
@@ -25,6 +25,11 @@
     /** So many seeds are played between two looks at the clock of a soak. */
     private static final long BATCH = 1_000;
 
+    static {
+        // Netty would take SLF4J, and say so line by line.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     @Spec
     private CommandSpec spec;
 
@@ -87,7 +92,6 @@
 
     /** Thousands of balancers would fill the log; what they say belongs to a replay. */
     private static void quiet() {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Logs.use(new LogSettings(LogSettings.Format.PLAIN, "off", java.util.Map.of()));
     }
 
@@ -96,7 +100,6 @@
     int replay(@Parameters(paramLabel = "FILE") Path file,
             @Option(names = "--trace", description = "print all that happened") boolean trace)
             throws BadScenario {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         try {
             return tell(Campaign.replay(file), trace);
         } catch (IOException e) {
@@ -110,7 +113,6 @@
     int show(@Parameters(paramLabel = "SEED") long seed,
             @Option(names = "--trace", description = "print all that happened") boolean trace)
             throws IOException {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         out().print(Campaign.plan(seed));
         return tell(Campaign.replay(seed), trace);
     }
--- a/src/main/java/yewyoke/faults/Client.java
+++ b/src/main/java/yewyoke/faults/Client.java
@@ -21,7 +21,7 @@
     private int left;
     private Oracle.Seen open;
     private boolean reused;
-    private boolean rude;
+    private final boolean rude;
     private byte[] unsent = {};
     private Runnable whenSent = () -> { };
     private String lastRequest;
@@ -187,7 +187,7 @@
         if (cutShort) {
             world.trace("client got part of an answer for " + mine.id);
             world.oracle.excused(mine); // it can tell that the answer is not whole: failed, not lost
-        } else if (reused || world.excuses(mine)) {
+        } else if (reused || world.excuses()) {
             // Its request and the closing crossed, or the process is gone: that one asks anew elsewhere.
             world.oracle.excused(mine);
         } else {
--- a/src/main/java/yewyoke/faults/Message.java
+++ b/src/main/java/yewyoke/faults/Message.java
@@ -21,12 +21,10 @@
     /** Reads messages out of bytes that come in pieces. Interim answers are passed over. */
     static final class Reader {
         private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
-        private boolean begun;
 
         /** All messages that are whole now. */
         List<Message> add(byte[] bytes) {
             buffer.writeBytes(bytes);
-            begun |= bytes.length > 0;
             List<Message> whole = new ArrayList<>();
             for (Message m = next(); m != null; m = next()) {
                 if (!m.start.startsWith("HTTP/1.1 1")) {
--- a/src/main/java/yewyoke/faults/Oracle.java
+++ b/src/main/java/yewyoke/faults/Oracle.java
@@ -29,7 +29,6 @@
         final int maxAttempts;
         boolean over;
         int answers;
-        boolean refused;
         /** The first bytes of its answer have come; of a large one these are what is timed. */
         boolean begun;
         boolean excused;
@@ -46,15 +45,11 @@
     /** One attempt that reached an upstream whole. */
     static final class Run {
         final long begunAt;
-        final long wholeAt;
-        final int zone;
         /** It was turned away unseen, and word of that can't have been lost. */
         boolean never;
 
-        Run(long begunAt, long wholeAt, int zone) {
+        Run(long begunAt) {
             this.begunAt = begunAt;
-            this.wholeAt = wholeAt;
-            this.zone = zone;
         }
     }
 
@@ -115,9 +110,8 @@
         if (status == 200 && seen.runs.isEmpty()) {
             broken("1", seen.id + " was served and never reached an upstream");
         }
-        seen.refused = status == 503 || status == 429;
-        if (seen.refused && seen.effect != Effect.SAFE && seen.effect != Effect.KEYED
-                && seen.runs.stream().anyMatch(r -> !r.never)) {
+        boolean refused = status == 503 || status == 429;
+        if (refused && seen.effect == Effect.UNSAFE && seen.runs.stream().anyMatch(r -> !r.never)) {
             broken("2", seen.id + " was refused though it may have run");
         }
         if (status == 400 || status == 413 || status == 408) {
@@ -143,8 +137,8 @@
     // ---- Upstreams -----------------------------------------------------------------------------------
 
     /** A whole request has come in at an upstream; its first byte came at {@code begunAt}. */
-    Run ran(String id, String upstream, int zone, long begunAt) {
-        Run run = new Run(begunAt, timeline.micros(), zone);
+    Run ran(String id, String upstream, long begunAt) {
+        Run run = new Run(begunAt);
         Seen seen = requests.get(id);
         if (seen == null) {
             broken("2", upstream + " got " + id + ", which no client sent");
--- a/src/main/java/yewyoke/faults/Process.java
+++ b/src/main/java/yewyoke/faults/Process.java
@@ -29,7 +29,7 @@
         this.transport = new VirtualTransport(world.timeline, world.network, host, seed);
     }
 
-    void start(byte[] config) throws BadInput, IOException {
+    void start() throws BadInput, IOException {
         node = Node.create(() -> Config.parse(world.configBytes()), transport, figures, this::twin);
         listening = node.listening();
         listening.addListener(f -> {
--- a/src/main/java/yewyoke/faults/Upstream.java
+++ b/src/main/java/yewyoke/faults/Upstream.java
@@ -107,7 +107,7 @@
         private void take(Message request) {
             String name = request.header("x-correlation-id");
             world.trace(id + " got " + name);
-            Oracle.Run run = world.oracle.ran(name, id, zone, begunAt);
+            Oracle.Run run = world.oracle.ran(name, id, begunAt);
             if (strikes(Fault.Kind.FULL) || draining && random.nextDouble() < 0.5) {
                 run.never = true;
                 reply("HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 1_000);
--- a/src/main/java/yewyoke/faults/VirtualLoop.java
+++ b/src/main/java/yewyoke/faults/VirtualLoop.java
@@ -40,10 +40,6 @@
         cancelScheduledTasks();
     }
 
-    boolean isDead() {
-        return dead;
-    }
-
     @Override public void execute(Runnable task) {
         if (!dead) {
             tasks.add(task);
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -141,7 +141,7 @@
         Process p = new Process(this, processes.size(), streams.seedOf("process/" + processes.size()));
         processes.add(p);
         try {
-            p.start(config.getBytes(StandardCharsets.UTF_8));
+            p.start();
         } catch (BadInput | IOException e) {
             throw new IllegalStateException("the scenario's configuration is bad", e);
         }
@@ -167,7 +167,7 @@
     }
 
     /** Requests whose process was killed, or that came while it ended, are nobody's fault here. */
-    boolean excuses(Oracle.Seen seen) {
+    boolean excuses() {
         return killed || stopping;
     }
 
--- a/src/main/java/yewyoke/lab/sim/Gateway.java
+++ b/src/main/java/yewyoke/lab/sim/Gateway.java
@@ -230,7 +230,6 @@
             }
             t.taken = true;
             open.put(t.id, t);
-            tally.taken++;
             agenda.at(t.deadline, () -> deadline(t));
             oracle.took(t);
             balancer.request(agenda.now(), new Request(t.id, template.classIndex(), template.tenant(),
@@ -412,9 +411,7 @@
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
-        tally.peerMessages++;
-    }
+    public void tell(int peer, byte[] body) { }
 
     @Override
     public void log(String text) { }
--- a/src/main/java/yewyoke/lab/sim/Gauge.java
+++ b/src/main/java/yewyoke/lab/sim/Gauge.java
@@ -58,10 +58,6 @@
         return present;
     }
 
-    double accepted() {
-        return accepted;
-    }
-
     /** Little's law, L = lambda W, as the two integrals that must be equal once nobody is left. */
     double littleError() {
         return present > 0 ? Double.NaN : Math.abs(presence - stays) / Math.max(1, stays);
--- a/src/main/java/yewyoke/lab/sim/Tally.java
+++ b/src/main/java/yewyoke/lab/sim/Tally.java
@@ -15,7 +15,6 @@
 
     long firstTries;
     long clientTries;
-    long taken;
     long served;
     long refused;
     long failed;
@@ -24,7 +23,6 @@
     long crossings;
     long handshakes;
     long extraAnswers;
-    long peerMessages;
     long lateByStall;
     long doubleEffects;
     long droppedRepeats;
