Share an upstream among 3 balancers, not 12, where nobody tells what is in flight there

Cause: on the large fleet the upstreams jam and stay jammed. Ruled out: discovery (one call a balancer and start, answered in 0.3 to 0.8 s), loop lag (0 to 5 ms a half second), failed connects (none before a zone is lost).

Change: where neither messages nor probes tell what others have in flight, a subset is shared by 3 balancers. With up to 3 balancers all is as before.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -49,6 +49,7 @@
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 8_000_000; // doubled each time
     private static final double PANIC = 0.4; // panic threshold: with fewer left, ejections are ignored
     private static final int SHARERS = 12; // balancers to an upstream: few enough to tell and to be connected
+    private static final int BLIND_SHARERS = 3; // the same where nothing tells what others have in flight
     private static final int LEAST_SUBSET = 2; // upstreams to a balancer: with one there is no pick
     private static final double NEWS_POINTS = 0.02; // points of the result that in-flight news may cost
     private static final double ASK_SAVED = 10; // requests' worth of asking saved up for those held
@@ -1056,7 +1057,8 @@
      * nothing of dozens of upstreams; of few it can be told all, and none needs a connection to everyone.
      */
     private int subset() {
-        return (int) Math.max(LEAST_SUBSET, Math.ceil((double) SHARERS * ups.size() / settings.groupSize()));
+        double sharers = tells || asks ? SHARERS : BLIND_SHARERS;
+        return (int) Math.max(LEAST_SUBSET, Math.ceil(sharers * ups.size() / settings.groupSize()));
     }
 
     /** The subset; the ejected stay in but do not count, or nothing is left to ask when many fail. */
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -531,6 +532,24 @@
 
     // Full size: subsets, and the in-flight of others
 
+    /** One in flight is the least that a balancer allows itself; from fourteen that is fourteen. */
+    @Test
+    void manyBalancersTogetherLeaveNoUpstreamWithALongLine() {
+        config.group = 14;
+        config.probes = false;
+        Map<String, Integer> inFlight = new HashMap<>();
+        for (config.position = 0; config.position < config.group; config.position++) {
+            Host h = Host.of(config).list(60);
+            for (int i = 0; i < 200; i++) {
+                h.request(0, 2 * SECOND);
+            }
+            h.perUpstream.forEach((u, n) -> inFlight.merge(u, n, Integer::sum));
+        }
+        double mean = inFlight.values().stream().mapToInt(n -> n).sum() / 60.0;
+        assertTrue(mean <= 4, "in flight at an upstream " + mean);
+        assertTrue(Collections.max(inFlight.values()) <= 8, inFlight.toString());
+    }
+
     @Test
     void inALargeGroupEachBalancerUsesAFewUpstreamsAndAllAreUsed() {
         config.group = 120;
