Refuse a request that found no place by 45% of its time, not at its deadline

A held request was only refused at its deadline (expire) or pushed out by dearer ones (shed did nothing where late answers are worth something).

Change: shed refuses at once what has waited unsent for 45% of the time that its client gave it.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -55,6 +55,7 @@
     private static final double ASK_SAVED = 10; // requests' worth of asking saved up for those held
     private static final double SHORT_LINE = 3; // one that rejects at less is draining, not full
     private static final double AIM_CARE = 0.6, TOLD_CARE = 0.8; // part of the time left that a line may take
+    private static final double HELD_PART = 0.45; // of its time that a request may wait unsent
     private static final double HELD_CHANCE = 0.25; // a sweep's, to send what is held where others hold too
     private static final long FIRST_ASK = 5_000; // expected round trip of a probe until one was seen
     private static final int MESSAGE_BYTES = 4; // three name the upstream, one is in-flight
@@ -892,9 +893,13 @@
         }
     }
 
-    /** Refuses held requests whose aim can no longer be met and that are worth nothing late. */
+    /** Refuses held requests that waited for too long, or come too late and are worth nothing then. */
     private void shed(long now) {
         for (Req r : new ArrayList<>(held)) {
+            if (r.tries.isEmpty() && !r.arriving && now - r.arrivedAt > HELD_PART * r.request.timeLeft()) {
+                finish(r, now);
+                continue;
+            }
             double late = r.cls.lateWorth();
             double least = tells || asks ? size(r) * typicalPace
                     : Math.max(ownService(r, unitTook), r.lane.took);
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -298,6 +298,17 @@
 
     // In-flight limit, holding and shedding
 
+    /** After half of its time its client had better have asked elsewhere. */
+    @Test
+    void aRequestThatFoundNoPlaceByHalfOfItsTimeIsRefusedThen() {
+        Host h = Host.of(config); // nothing to send to: all are held
+        String id = h.request(0, 2 * SECOND);
+        h.advance(800 * MILLI);
+        assertEquals(List.of(), h.refused);
+        h.advance(200 * MILLI);
+        assertEquals(List.of(id), h.refused);
+    }
+
     @Test
     void slowAnswersLowerTheInFlightLimitAndRequestsAreHeld() {
         Host h = Host.of(config).list(2);
