Of many balancers, let each leave a crowded upstream alone for some seconds

A limit below one still lets one in flight, and an upstream slowed by its crowd gets well only when nearly idle for 2 to 5 s. Ruled out: connections (none failed but those to the lost zone), discovery, lag of the loop.

Change: with more than 4 balancers that are blind to each other, an upstream whose limit has fallen under 0.15 rests for 2 to 6 s, drawn by each, and starts anew with 0.22.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -37,8 +37,10 @@
     private static final double UNPROVEN_UNSAFE = 0.38; // the same for a request that cannot be tried again
     private static final double FIRST_TOTAL = 3; // in flight by all before anything is known: a short line
     private static final double LEAST_LIMIT = 0.05; // lower bound of our own in-flight limit
-    private static final double WAIT_SHARE = 0.18; // waiting aimed at under our own limit, of the aim
-    private static final double WAIT_MORE = 0.12, FEW = 4; // added with FEW balancers: the line is ours
+    private static final double WAIT_SHARE = 0.1; // waiting aimed at under our own limit, of the aim
+    private static final double WAIT_MORE = 0.2, FEW = 4; // added with FEW balancers: the line is ours
+    private static final double REST_LIMIT = 0.15; // of many, a limit so low means that one each is a crowd
+    private static final long REST = 4_000_000; // mean time left alone then: a crowded one needs some seconds
     private static final double LIMIT_CUT = 0.8, DEEPEST_CUT = 0.4; // least and most cut on too long a wait
     private static final double FULL_CUT = 0.7; // cut on a rejection: a full queue is plain
     private static final double LIMIT_STEP = 0.3; // step up for a round of answers in time
@@ -168,6 +170,7 @@
         List<Integer> sharers;
         // health
         double limit, least, took, errors;
+        long restUntil;
         long cutAt, leastAt, progressAt, answeredAt = NEVER, ejectedUntil, ejection = FIRST_EJECTION;
         boolean hanging;
         // cold-start budget
@@ -513,6 +516,19 @@
                 eject(up, now);
             }
         }
+        restIfCrowded(up, now);
+    }
+
+    /**
+     * One in flight is the least that a limit allows, and from many balancers that is a crowd. An upstream
+     * that is slow by its crowd gets well only when nearly idle, so whoever finds that leaves it alone for a
+     * while, each for a time of its own, and starts anew with little.
+     */
+    private void restIfCrowded(Up up, long now) {
+        if (up.limit < REST_LIMIT && settings.groupSize() > FEW && !tells && !asks) {
+            up.restUntil = now + jitter(REST);
+            up.limit = 1.5 * REST_LIMIT;
+        }
     }
 
     private static double smooth(double old, double sample, double share) {
@@ -590,7 +606,8 @@
             double care = asks ? AIM_CARE : TOLD_CARE;
             return line < 1 - 1 / UNIT_PARTS || (line + size(r)) * up.pace <= care * (r.aimAt - now);
         }
-        return up.inFlight + others(up, now) + 1 <= Math.max(1, up.limit * warmth(up, now) * allowance(up));
+        double most = Math.max(1, up.limit * warmth(up, now) * allowance(up));
+        return up.restUntil <= now && up.inFlight + others(up, now) + 1 <= most;
     }
 
     private double zoneFactor(Up up) {
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -576,6 +577,23 @@
         assertTrue(Collections.max(served.values()) >= 11, served.toString());
     }
 
+    /** One each from many balancers is a crowd that none of them sees; it ends only if each lets go. */
+    @Test
+    void ofManyEachLeavesACrowdedUpstreamAloneForAWhileAndOfFewNone() {
+        for (int group : List.of(3, 14)) {
+            config.group = group;
+            config.probes = false;
+            Host h = Host.of(config).list(1);
+            h.serve(0, 20 * MILLI, u -> 0.9);
+            for (int i = 0; i < 40 && h.sends.size() == i + 1; i++) {
+                h.serve(0, 600 * MILLI, u -> 0.9);
+            }
+            assertEquals(group == 14, h.serve(0, 20 * MILLI, u -> 0.9) == null, "with " + group);
+            h.advance(6 * SECOND);
+            assertNotNull(h.serve(0, 20 * MILLI, u -> 0.9), "with " + group);
+        }
+    }
+
     @Test
     void inALargeGroupEachBalancerUsesAFewUpstreamsAndAllAreUsed() {
         config.group = 120;
