Refuse the long held early only from 4 balancers on

With two or three the line at the door is the line everywhere, and a refused client comes back to the same one.

The large fleet plays the same code as before this commit.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -910,10 +910,15 @@
         }
     }
 
-    /** Refuses held requests that waited for too long, or come too late and are worth nothing then. */
+    /**
+     * Refuses held requests that come too late and are worth nothing then; from FEW balancers on each also those
+     * that waited for long: another may have room. With few, the line here is the line everywhere.
+     */
     private void shed(long now) {
+        boolean many = settings.groupSize() >= FEW;
         for (Req r : new ArrayList<>(held)) {
-            if (r.tries.isEmpty() && !r.arriving && now - r.arrivedAt > HELD_PART * r.request.timeLeft()) {
+            if (many && r.tries.isEmpty() && !r.arriving
+                    && now - r.arrivedAt > HELD_PART * r.request.timeLeft()) {
                 finish(r, now);
                 continue;
             }
