--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -911,8 +911,8 @@
     }
 
     /**
-     * Refuses held requests that come too late and are worth nothing then; from FEW balancers on each also those
-     * that waited for long: another may have room. With few, the line here is the line everywhere.
+     * Refuses held requests that come too late and are worth nothing then; with some balancers, each also
+     * those that waited for long: another may have room. With fewer, the line here is the line everywhere.
      */
     private void shed(long now) {
         boolean many = settings.groupSize() >= FEW;
