--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -1084,7 +1084,7 @@
      * nothing of dozens of upstreams; of few it can be told all, and none needs a connection to everyone.
      */
     private int subset() {
-        double sharers = tells || asks ? SHARERS : BLIND_SHARERS;
+        double sharers = tells || asks || settings.groupSize() < FEW ? SHARERS : BLIND_SHARERS;
         return (int) Math.max(LEAST_SUBSET, Math.ceil(sharers * ups.size() / settings.groupSize()));
     }
 
