--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -565,7 +565,7 @@
         assertTrue(Collections.max(inFlight.values()) <= 8, inFlight.toString());
     }
 
-    /** A key's requests come to all balancers; warm at one upstream they cost a third of what they do cold. */
+    /** A key comes to all balancers; warm at one upstream its requests cost a third of what they do cold. */
     @Test
     void aKeyGoesToOneUpstreamFromAllBalancersThoughItIsInFewSubsets() {
         config.group = 14;
