--- a/src/main/java/yewyoke/transport/RestingIo.java
+++ b/src/main/java/yewyoke/transport/RestingIo.java
@@ -8,10 +8,10 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 
- * Sockets by the selector, with waits rounded up to whole milliseconds. The library asks a selector
- * that only knows whole ones, and for a timer due within half of one it asks again and again without waiting:
- * that only knows whole ones, and for a timer due within half of one it asks again and again without waiting:
- * with a hundred timers a second that was 20,000 turns a second of a balancer with six requests.
+/**
+ * Sockets by the selector, with waits rounded up to whole milliseconds. Netty's own loop asks a selector that
+ * knows whole ones only, and for a timer due within half of one it asks again and again without waiting: with
+ * a hundred timers a second that was 20,000 turns a second of a balancer with six requests.
  */
 public final class RestingIo implements IoHandler {
     private static final long MILLI = 1_000_000;
