Agree the interfaces of the fleet's base before its parts are built

Need: membership, shared state, wire, the rig, ring, calendar and rollout are to be built side by side, so what they have in common comes first: member and packet, body, item and Shared, datagram, and a note of what the base promises and what it doesn't.

--- /dev/null
+++ b/src/main/java/yewyoke/fleet/member/Packet.java
@@ -0,0 +1,6 @@
+package yewyoke.fleet.member;
+
+import java.util.List;
+
+/** A body with what is passed on about members. */
+public record Packet(Body body, List<Member> rumours) { }
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/share/Item.java
@@ -0,0 +1,36 @@
+package yewyoke.fleet.share;
+
+/** A piece of what the fleet shares, in the form in which it travels and merges. */
+public sealed interface Item {
+    /** Under what it is stated: {@code part/subject}, 1 to 96 characters. */
+    String topic();
+
+    /** Who stated it. */
+    String member();
+
+    /**
+     * What one member says on a topic: of two statements the one of the later incarnation counts, then the
+     * one of the higher version, then the greater one by bytes.
+     *
+     * @param incarnation of the member when it said so, so that a restart need not remember versions
+     * @param version rises with each statement, from 1
+     * @param body at most {@link Shared#LONGEST_BODY} bytes
+     */
+    record Document(String topic, String member, long incarnation, long version, byte[] body)
+            implements Item { }
+
+    /**
+     * Something that can't be undone by any merge: raised once it is up for ever, by whomever. Of several
+     * that raised it all are kept, each with its reason of at most {@link Shared#LONGEST_REASON} bytes.
+     */
+    record Flag(String topic, String member, byte[] reason) implements Item { }
+
+    /**
+     * Counts of one member in one window of time; each value only grows, and the greatest of each place
+     * counts.
+     *
+     * @param window its number since the epoch, by a length that the topic stands for
+     * @param values at most {@link Shared#MOST_VALUES}
+     */
+    record Tally(String topic, String member, long window, long[] values) implements Item { }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/wire/Datagram.java
@@ -0,0 +1,14 @@
+package yewyoke.fleet.wire;
+
+import java.util.List;
+import yewyoke.fleet.member.Packet;
+import yewyoke.fleet.share.Item;
+
+/**
+ * One datagram in the clear.
+ *
+ * @param from the sender's name
+ * @param boot of the sending process
+ * @param number of this datagram since its start, from 1: what was there before is dropped
+ */
+public record Datagram(String from, long boot, long number, Packet packet, List<Item> items) { }
