--- a/src/main/java/yewyoke/state/BadSnapshot.java
+++ b/src/main/java/yewyoke/state/BadSnapshot.java
@@ -1,10 +1,11 @@
 package yewyoke.state;
 
-/** A file that can't be used as a snapshot; the message is one line that says why. */
+/** A file of what was kept that can't be used; the message is one line that says why. */
 public final class BadSnapshot extends Exception {
     private static final long serialVersionUID = 1;
 
-    BadSnapshot(String reason) {
+    /** For that reason. */
+    public BadSnapshot(String reason) {
         super(reason);
     }
 }
--- a/src/main/java/yewyoke/state/SnapshotFormat.java
+++ b/src/main/java/yewyoke/state/SnapshotFormat.java
@@ -9,11 +9,8 @@
 import java.io.UncheckedIOException;
 import java.math.BigDecimal;
 import java.math.MathContext;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
-import java.util.zip.CRC32C;
 import yewyoke.Balancer.ClassMemory;
 import yewyoke.Balancer.Known;
 import yewyoke.Balancer.Memory;
@@ -29,8 +26,8 @@
     /** Larger ones are neither written nor read. */
     public static final int MOST_BYTES = 4 << 20;
 
-    private static final String MAGIC = "yewyoke-state";
-    private static final int LONGEST_LINE = 64;
+    private static final Envelope ENVELOPE =
+            new Envelope("yewyoke-state", "snapshot", VERSION, MOST_BYTES);
     private static final JsonFactory JSON = new JsonFactory();
     private static final MathContext DIGITS = new MathContext(5);
 
@@ -51,15 +48,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e); // there is no I/O in memory
         }
-        byte[] bytes = body.toByteArray();
-        byte[] line = (MAGIC + " " + VERSION + " " + bytes.length + " " + crc(bytes, 0) + "\n")
-                .getBytes(StandardCharsets.US_ASCII);
-        if (line.length + bytes.length > MOST_BYTES) {
-            throw new BadSnapshot("too large with " + bytes.length + " bytes");
-        }
-        byte[] all = Arrays.copyOf(line, line.length + bytes.length);
-        System.arraycopy(bytes, 0, all, line.length, bytes.length);
-        return all;
+        return ENVELOPE.around(body.toByteArray());
     }
 
     private static void entries(JsonGenerator out, List<Snapshot.Entry> entries) throws IOException {
@@ -120,36 +109,9 @@
         out.writeNumber(Double.isFinite(d) ? new BigDecimal(d, DIGITS).stripTrailingZeros().toString() : "0");
     }
 
-    private static String crc(byte[] bytes, int from) {
-        CRC32C crc = new CRC32C();
-        crc.update(bytes, from, bytes.length - from);
-        return String.format("%08x", crc.getValue());
-    }
-
     /** Reads a snapshot; one that is torn, foreign, newer or too large is refused. */
     public static Snapshot read(byte[] all) throws BadSnapshot {
-        int end = 0;
-        while (end < all.length && end < LONGEST_LINE && all[end] != '\n') {
-            end++;
-        }
-        String[] line = new String(all, 0, end, StandardCharsets.US_ASCII).split(" ");
-        if (all.length > MOST_BYTES) {
-            throw new BadSnapshot("too large with " + all.length + " bytes");
-        }
-        if (!line[0].equals(MAGIC) || line.length < 2) {
-            throw new BadSnapshot("not a snapshot of this program");
-        }
-        if (!line[1].equals(String.valueOf(VERSION))) {
-            throw new BadSnapshot("written in form " + line[1] + ", and this program reads " + VERSION);
-        }
-        int from = Math.min(all.length, end + 1);
-        if (line.length != 4 || !line[2].equals(String.valueOf(all.length - from))) {
-            throw new BadSnapshot("torn: " + (all.length - from) + " bytes where its first line says "
-                    + (line.length > 2 ? line[2] : "nothing"));
-        }
-        if (!line[3].equals(crc(all, from))) {
-            throw new BadSnapshot("damaged: its checksum is another one");
-        }
+        int from = ENVELOPE.open(all);
         try (JsonParser in = JSON.createParser(all, from, all.length - from)) {
             return read(in);
         } catch (IOException | IllegalArgumentException e) {
--- a/src/main/java/yewyoke/state/Store.java
+++ b/src/main/java/yewyoke/state/Store.java
@@ -1,25 +1,15 @@
 package yewyoke.state;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 
-/**
- * The last two snapshots of one balancer on a disk. A new one is written beside them, forced, and then takes
- * its name; a crash at any step leaves one that is whole.
- */
+/** The last two snapshots of one balancer on a disk. */
 public final class Store {
-    private final Disk disk;
-    private final String last;
-    private final String before;
-    private final String next;
+    private final LastTwo files;
 
     /** Of the balancer of that name; {@code writer} tells processes apart that write at the same time. */
     public Store(Disk disk, String name, String writer) {
-        this.disk = disk;
-        this.last = name + ".state";
-        this.before = name + ".state.1";
-        this.next = name + ".state." + writer + ".new";
+        files = new LastTwo(disk, name + ".state", writer);
     }
 
     /**
@@ -29,29 +19,12 @@
 
     /** Keeps a snapshot. */
     public void write(byte[] bytes) throws IOException {
-        disk.write(next, bytes);
-        if (disk.has(last)) {
-            disk.rename(last, before);
-        }
-        disk.rename(next, last);
-        disk.sync();
+        files.write(bytes);
     }
 
     /** The last one that can be read. */
     public Found read() {
-        List<String> refused = new ArrayList<>();
-        for (String name : List.of(last, before)) {
-            if (disk.has(name)) {
-                try {
-                    byte[] bytes = disk.read(name, SnapshotFormat.MOST_BYTES);
-                    return new Found(SnapshotFormat.read(bytes), refused);
-                } catch (IOException e) {
-                    refused.add(name + " can't be read: " + e.getMessage());
-                } catch (BadSnapshot e) {
-                    refused.add(name + " is " + e.getMessage());
-                }
-            }
-        }
-        return new Found(null, refused);
+        LastTwo.Found<Snapshot> found = files.read(SnapshotFormat.MOST_BYTES, SnapshotFormat::read);
+        return new Found(found.content(), found.refused());
     }
 }
