--- a/src/main/java/yewyoke/fleet/share/Item.java
+++ b/src/main/java/yewyoke/fleet/share/Item.java
@@ -33,4 +33,29 @@
      * @param values at most {@link Shared#MOST_VALUES}
      */
     record Tally(String topic, String member, long window, long[] values) implements Item { }
+
+    /**
+     * One slice of a document that is too long for a datagram; it counts when all of them are there.
+     *
+     * @param digest of the whole body, {@code XXH3} with 64 bits
+     * @param index from 0
+     * @param parts how many there are, 2 to {@link #MOST_PARTS}
+     */
+    record Fragment(String topic, String member, long incarnation, long version, long digest, int index,
+            int parts, byte[] slice) implements Item { }
+
+    /**
+     * What the sender holds, as one hash for each of a fixed number of buckets, so that a peer can tell what
+     * differs. It is for the one that it is sent to, and neither kept nor passed on.
+     *
+     * @param step 0 for one that asks, 1 for the answer behind what differed, 2 for the answer to that
+     * @param whole whether all that differed came before this, or only a part of it
+     * @param buckets their hashes
+     */
+    record Sums(String topic, String member, int step, boolean whole, long[] buckets) implements Item { }
+
+    /** Slices of a document at most. */
+    int MOST_PARTS = 64;
+    /** Incarnations and versions up to here count: beyond, nobody who counts could outdo a liar. */
+    long MOST_VERSION = 1L << 48;
 }
--- a/src/main/java/yewyoke/fleet/share/Shared.java
+++ b/src/main/java/yewyoke/fleet/share/Shared.java
@@ -65,4 +65,31 @@
     default int majority() {
         return roster().size() / 2 + 1;
     }
+
+    /**
+     * Whether this member knows enough of what it and others said to vote: it has kept it over its start, or
+     * has asked another for it since.
+     */
+    default boolean mayVote() {
+        return true;
+    }
+
+    /**
+     * States a document that must outlive a crash: a vote, a revision held. Where a folder is set, others
+     * are told of it only once it is written down.
+     */
+    default void pledge(long now, String topic, byte[] body) {
+        say(now, topic, body);
+    }
+
+    /**
+     * Keeps something for this member alone over a crash, where a folder is set; an empty one is forgotten.
+     * Refused above {@link #LONGEST_BODY} bytes.
+     */
+    default void note(String key, byte[] bytes) { }
+
+    /** What was noted last, also before a restart; null if nothing is known. */
+    default byte[] noted(String key) {
+        return null;
+    }
 }
