--- /dev/null
+++ b/src/main/java/yewyoke/fleet/share/Intake.java
@@ -0,0 +1,118 @@
+package yewyoke.fleet.share;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewyoke.fleet.share.Item.Document;
+import yewyoke.fleet.share.Item.Flag;
+import yewyoke.fleet.share.Item.Fragment;
+import yewyoke.fleet.share.Item.Tally;
+
+/** Takes statements in: merges them, passes on what is news, and tells the parts. */
+final class Intake {
+    private final Book book;
+    private final Spread spread;
+    private final Pulse pulse;
+    private final Holding own;
+    private final Voice voice;
+    private final Imposture imposture;
+    private final List<Shared.Listener> listeners = new ArrayList<>();
+
+    Intake(Book book, Spread spread, Holding own, Voice voice, Imposture imposture) {
+        this.book = book;
+        this.spread = spread;
+        this.pulse = new Pulse(book);
+        this.own = own;
+        this.voice = voice;
+        this.imposture = imposture;
+    }
+
+    Pulse pulse() {
+        return pulse;
+    }
+
+    void listen(Shared.Listener listener) {
+        listeners.add(listener);
+    }
+
+    /** From another member; whether it is the beginning of a document that isn't here. */
+    boolean merge(long now, Item item) {
+        Holding holding = item instanceof Item.Sums ? null : book.admit(now, item.member());
+        if (holding == null) {
+            return false;
+        }
+        if (holding == own && !(item instanceof Flag) && (!(item instanceof Tally t) || Beat.is(t))) {
+            ownName(item);
+            return false;
+        }
+        if (!(item instanceof Fragment f)) {
+            merge(now, holding, item);
+            return false;
+        }
+        if (isKnown(holding, f)) {
+            return false;
+        }
+        Document whole = holding.assembly.add(f);
+        if (whole != null) {
+            merge(now, holding, whole);
+        } else if (holding.assembly.failed()) {
+            book.refuse(Refused.FRAGMENTS, f.member());
+        }
+        return whole == null && f.index() == 0;
+    }
+
+    /** From this member, or one that has been put together. */
+    void merge(long now, Holding holding, Item item) {
+        Item news = null;
+        if (item instanceof Document d) {
+            news = holding.merge(now, d) ? d : null;
+        } else if (item instanceof Flag f) {
+            if (holding.merge(f)) {
+                news = holding.flags.get(f.topic());
+                voice.changed();
+            }
+        } else if (item instanceof Tally t && Beat.is(t)) {
+            if (holding.beat(now, t.window(), Beat.count(t))) {
+                pulse.add(t.member());
+            }
+            return;
+        } else if (item instanceof Tally t) {
+            news = holding.merge(now, t);
+        }
+        if (news != null) {
+            spread.add(news);
+            if (holding != own) {
+                for (Shared.Listener listener : listeners) {
+                    listener.changed(now, news);
+                }
+            }
+        } else if (holding.why() != null) {
+            book.refuse(holding.why(), item.member());
+        }
+    }
+
+    private static boolean isKnown(Holding holding, Fragment f) {
+        Document held = holding.documents.get(f.topic());
+        return f.incarnation() < holding.generation() || held != null && (held.incarnation() > f.incarnation()
+                || held.incarnation() == f.incarnation() && (held.version() > f.version()
+                || held.version() == f.version() && Buckets.digest(held.body()) == f.digest()));
+    }
+
+    /**
+     * What others say that this member has said: before it has asked, its earlier life's, which it takes up;
+     * afterwards an older statement, or one that it never made.
+     */
+    private void ownName(Item item) {
+        if (voice.asked()) {
+            imposture.look(item, own, voice.generation());
+        } else if (item instanceof Document d) {
+            voice.recall(d);
+        } else if (item instanceof Fragment f) {
+            Document whole = own.assembly.add(f);
+            if (whole != null) {
+                voice.recall(whole);
+            }
+        } else if (item instanceof Tally t && t.window() >= voice.generation()) {
+            voice.enter(t.window() + 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/share/Store.java
@@ -0,0 +1,234 @@
+package yewyoke.fleet.share;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import yewyoke.fleet.member.Health;
+import yewyoke.fleet.member.Member;
+import yewyoke.fleet.member.Membership;
+import yewyoke.fleet.share.Item.Document;
+import yewyoke.fleet.share.Item.Flag;
+import yewyoke.fleet.share.Item.Tally;
+
+/**
+ * The state that the fleet shares, as this member holds it. What it holds follows from the statements that it
+ * heard and not from their order; only ageing goes by time. For one thread.
+ */
+public final class Store implements Shared {
+    /** How long ago somebody was heard of whom nothing is known, in microseconds: for ever. */
+    public static final long NEVER = Long.MAX_VALUE;
+    private static final int LONGEST_TOPIC = 96;
+
+    private final String self;
+    private final Set<String> roster;
+    private final Membership members;
+    private final Book book;
+    private final Spread spread;
+    private final Holding own;
+    private final Voice voice;
+    private final Intake intake;
+    private final Exchange exchange;
+
+    /**
+     * Who this member is.
+     *
+     * @param generation greater than in its earlier lives as far as that can be told, such as the seconds of
+     *     the wall clock at its start; a memoir's or what others tell wins over it if that is later
+     * @param lasting whether what is pledged is written down, and {@link #kept} called
+     */
+    public record Identity(String self, Set<String> roster, long generation, boolean lasting) { }
+
+    /**
+     * Begins.
+     *
+     * @param recalled what this member wrote down in an earlier life, or null
+     * @param told takes single lines for a log
+     */
+    public Store(long now, Identity identity, Membership members, Memoir recalled, Consumer<String> told) {
+        this.self = identity.self();
+        this.roster = Set.copyOf(identity.roster());
+        this.members = members;
+        this.book = new Book(roster, told);
+        this.spread = new Spread(self, book);
+        this.own = book.admit(now, self);
+        boolean alone = roster.stream().allMatch(self::equals);
+        this.voice = new Voice(Math.max(identity.generation(), recalled == null ? 0
+                : recalled.generation() + 1), identity.lasting(), recalled != null || alone);
+        Imposture imposture = new Imposture(self, told);
+        this.intake = new Intake(book, spread, own, voice, imposture);
+        this.exchange = new Exchange(this, intake, imposture);
+        if (recalled != null) {
+            recalled.flags().forEach(f -> intake.merge(now, f));
+            recalled.pledges().forEach(voice::pledge);
+            voice.notes().putAll(recalled.notes());
+        }
+        exchange.flush(now);
+    }
+
+    /** The side of it that talks with other members. */
+    public Exchange exchange() {
+        return exchange;
+    }
+
+    Book book() {
+        return book;
+    }
+
+    Spread spread() {
+        return spread;
+    }
+
+    Holding own() {
+        return own;
+    }
+
+    Voice voice() {
+        return voice;
+    }
+
+    /** How many members there are, as far as is known. */
+    int size() {
+        return members.members().size();
+    }
+
+    @Override public String self() {
+        return self;
+    }
+
+    @Override public Set<String> roster() {
+        return roster;
+    }
+
+    @Override public boolean counts(String member) {
+        Holding holding = book.holdings.get(member);
+        return roster.contains(member) && !members.contested(member)
+                && (holding == null || !Contest.standsAgainst(holding));
+    }
+
+    /** Those in whose names others speak, as they say themselves. */
+    public Set<String> forged() {
+        Set<String> forged = new TreeSet<>();
+        book.holdings.forEach((member, holding) -> {
+            if (Contest.standsAgainst(holding)) {
+                forged.add(member);
+            }
+        });
+        return forged;
+    }
+
+    @Override public boolean alive(String member) {
+        Member m = members.member(member);
+        return member.equals(self) || m != null && m.health().compareTo(Health.DEAD) < 0;
+    }
+
+    @Override public boolean mayVote() {
+        return voice.asked();
+    }
+
+    @Override public void say(long now, String topic, byte[] body) {
+        if (mine(topic, body)) {
+            voice.say(topic, body.clone());
+            exchange.flush(now);
+        }
+    }
+
+    @Override public void pledge(long now, String topic, byte[] body) {
+        if (mine(topic, body)) {
+            voice.pledge(topic, body.clone());
+            exchange.flush(now);
+        }
+    }
+
+    /** Little more than half of what others take: they may hold some of before together with some of now. */
+    private boolean mine(String topic, byte[] body) {
+        Document old = own.documents.get(topic);
+        int bytes = own.bytes() + voice.unsaidBytes() + body.length
+                - (old == null ? 0 : old.body().length);
+        boolean full = bytes > Limits.budget(roster.size()) / 2 + LONGEST_BODY / 2;
+        if (topic.isEmpty() || topic.length() > LONGEST_TOPIC || body.length > LONGEST_BODY || full) {
+            book.refuse(Refused.BYTES, self);
+            return false;
+        }
+        if (old == null && own.documents.size() + voice.topics() >= Limits.DOCUMENTS) {
+            book.refuse(Refused.TOPICS, self);
+            return false;
+        }
+        return true;
+    }
+
+    @Override public void note(String key, byte[] bytes) {
+        if (mine(key, bytes)) {
+            voice.note(key, bytes.clone());
+        }
+    }
+
+    @Override public byte[] noted(String key) {
+        byte[] noted = voice.notes().get(key);
+        return noted == null ? null : noted.clone();
+    }
+
+    @Override public Map<String, Document> said(long now, String topic) {
+        Map<String, Document> said = new TreeMap<>();
+        long lease = lease();
+        book.holdings.forEach((member, holding) -> {
+            Document d = holding.documents.get(topic);
+            if (d != null && (holding == own || now - holding.heardAt() <= lease)) {
+                said.put(member, d);
+            }
+        });
+        return said;
+    }
+
+    /** For how long what a member says counts since it was last heard anew, in microseconds. */
+    public long lease() {
+        return Beat.lease(size());
+    }
+
+    @Override public long age(long now, String member) {
+        Holding holding = book.holdings.get(member);
+        return holding == own ? 0 : holding == null ? NEVER : now - holding.heardAt();
+    }
+
+    @Override public void raise(long now, String topic, byte[] reason) {
+        if (topic.isEmpty() || topic.length() > LONGEST_TOPIC || reason.length > LONGEST_REASON) {
+            book.refuse(Refused.BYTES, self);
+        } else {
+            intake.merge(now, own, new Flag(topic, self, reason.clone()));
+        }
+    }
+
+    @Override public Map<String, Flag> raised(String topic) {
+        Map<String, Flag> raised = new TreeMap<>();
+        book.holdings.forEach((member, holding) -> {
+            if (holding.flags.containsKey(topic)) {
+                raised.put(member, holding.flags.get(topic));
+            }
+        });
+        return raised;
+    }
+
+    @Override public void count(long now, String topic, long window, long[] values) {
+        if (topic.isEmpty() || topic.length() > LONGEST_TOPIC || values.length > MOST_VALUES) {
+            book.refuse(Refused.BYTES, self);
+        } else {
+            intake.merge(now, own, new Tally(topic, self, window, values.clone()));
+        }
+    }
+
+    @Override public Map<String, Tally> counted(String topic, long window) {
+        Map<String, Tally> counted = new TreeMap<>();
+        book.holdings.forEach((member, holding) -> {
+            Map<Long, Tally> windows = holding.tallies.get(topic);
+            if (windows != null && windows.containsKey(window)) {
+                counted.put(member, windows.get(window));
+            }
+        });
+        return counted;
+    }
+
+    @Override public void listen(Listener listener) {
+        intake.listen(listener);
+    }
+}
