Fleet: membership, shared state and wire put together, the UDP link and the memoir

Need: one thing to feed with bytes and time, whatever keeps the membership; and what must outlive a crash on disk.

Change: Fleet fills what is left of each datagram with items, answers comparisons within a quota, gossips while there is news, asks while it may not vote. Gossiper is what it needs of the membership. UdpLink is the socket, MemoirFile the file. The directions of import are held by two rules more.

--- a/src/test/java/yewyoke/DirectionsTest.java
+++ b/src/test/java/yewyoke/DirectionsTest.java
@@ -37,6 +37,19 @@
             .resideInAnyPackage("yewyoke.http1..", "yewyoke.node..", "yewyoke.ops..", "yewyoke.exchange..",
                     "yewyoke.transport..", "yewyoke.settings..", "io.netty..");
 
+    @ArchTest
+    static final ArchRule WHAT_THE_FLEET_SHARES_KNOWS_NO_BYTES = noClasses().that()
+            .resideInAnyPackage("yewyoke.fleet.share..", "yewyoke.fleet.member..").should()
+            .dependOnClassesThat().resideInAnyPackage("yewyoke.fleet", "yewyoke.fleet.wire..",
+                    "yewyoke.fleet.link..", "com.fasterxml..");
+
+    @ArchTest
+    static final ArchRule ONLY_THE_LINK_OF_THE_FLEET_KNOWS_SOCKETS = noClasses().that()
+            .resideInAPackage("yewyoke.fleet..").and().resideOutsideOfPackage("yewyoke.fleet.link..")
+            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..",
+                    "yewyoke.fleet.link..", "yewyoke.transport..", "yewyoke.node..", "yewyoke.settings..",
+                    "yewyoke.exchange..", "yewyoke.http1..");
+
     @ArchTest
     static final ArchRule FRONTS_KNOW_NO_BACKS = noClasses().that()
             .resideInAPackage("yewyoke.http1.client..").should().dependOnClassesThat()
@@ -85,7 +98,7 @@
     @ArchTest
     static final ArchRule TIME_IS_HANDED_IN = noClasses().that()
             .resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.ops..", "yewyoke.exchange..",
-                    "yewyoke.http1..", "yewyoke.adapter..", "yewyoke.lab.sim..",
+                    "yewyoke.http1..", "yewyoke.adapter..", "yewyoke.fleet..", "yewyoke.lab.sim..",
                     "yewyoke.faults..").and().doNotHaveFullyQualifiedName("yewyoke.node.Rehearsal").and()
             .doNotHaveFullyQualifiedName("yewyoke.lab.sim.World").and()
             .doNotHaveFullyQualifiedName("yewyoke.lab.sim.Gateway")
--- /dev/null
+++ b/src/test/java/yewyoke/faults/MemoirFileTest.java
@@ -0,0 +1,97 @@
+package yewyoke.faults;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import yewyoke.fleet.MemoirFile;
+import yewyoke.fleet.share.Item;
+import yewyoke.fleet.share.Memoir;
+
+/** What a member must know over a crash, on a disk that fails or stops at every step. */
+class MemoirFileTest {
+    private final MemoryDisk disk = new MemoryDisk();
+    private final MemoirFile file = new MemoirFile(disk, "lb/1", "a");
+
+    private static Memoir memoir(long generation) {
+        return new Memoir(generation, Map.of("calendar/held", new byte[] {1, 2}, "long", new byte[16_384]),
+                List.of(new Item.Flag("rollout/halt", "lb-2", new byte[] {3})),
+                Map.of("ring", new byte[] {4}));
+    }
+
+    private long generation() {
+        Memoir found = new MemoirFile(disk, "lb/1", "b").read().content();
+        return found == null ? -1 : found.generation();
+    }
+
+    @Test
+    void allOfItIsRecalled() throws IOException {
+        assertNull(file.read().content());
+        file.write(memoir(1));
+        file.write(memoir(2));
+        Memoir m = file.read().content();
+        assertEquals(2, m.generation());
+        assertArrayEquals(new byte[] {1, 2}, m.pledges().get("calendar/held"));
+        assertEquals(16_384, m.pledges().get("long").length);
+        assertArrayEquals(new byte[] {3}, m.flags().get(0).reason());
+        assertArrayEquals(new byte[] {4}, m.notes().get("ring"));
+        assertEquals(List.of("lb_1.fleet", "lb_1.fleet.1"), List.copyOf(disk.files().keySet()));
+    }
+
+    @Test
+    void aCrashAtEveryStepLeavesTheOneBeforeOrTheNewOne() throws IOException {
+        boolean crashed = true;
+        int steps = 0;
+        for (; crashed; steps++) {
+            disk.files().clear();
+            file.write(memoir(1));
+            file.write(memoir(2));
+            disk.crashAfter(steps);
+            crashed = false;
+            try {
+                file.write(memoir(3));
+            } catch (MemoryDisk.Crash e) {
+                crashed = true;
+            }
+            disk.crashAfter(Integer.MAX_VALUE);
+            assertTrue(generation() == 3 || crashed && generation() == 2, "step " + steps);
+        }
+        assertEquals(5, steps, "write, two renames, sync, and none");
+    }
+
+    @Test
+    void aTornDamagedOrForeignOneIsRefusedInOneLine() throws IOException {
+        file.write(memoir(1));
+        byte[] good = disk.files().get("lb_1.fleet");
+        for (int length = 0; length < good.length; length += 97) {
+            disk.files().put("lb_1.fleet", Arrays.copyOf(good, length));
+            assertEquals(1, file.read().refused().size());
+            assertNull(file.read().content());
+        }
+        byte[] bad = good.clone();
+        bad[bad.length - 9] ^= 1;
+        disk.files().put("lb_1.fleet", bad);
+        assertEquals(List.of("lb_1.fleet is damaged: its checksum is another one"), file.read().refused());
+        disk.files().put("lb_1.fleet", "yewyoke-state 1 0 00000000\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals(List.of("lb_1.fleet is not a memoir of this program"), file.read().refused());
+        disk.files().put("lb_1.fleet", good);
+        assertEquals(List.of("lb_1.fleet is of another member than lb_1"),
+                new MemoirFile(disk, "lb_1", "a").read().refused());
+    }
+
+    @Test
+    void aFullDiskLeavesTheOneBefore() throws IOException {
+        file.write(memoir(1));
+        disk.full(true);
+        assertThrows(IOException.class, () -> file.write(memoir(2)));
+        assertEquals(1, generation());
+    }
+}
