--- a/src/main/java/yewyoke/settings/OperatorFile.java
+++ b/src/main/java/yewyoke/settings/OperatorFile.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import yewyoke.logging.LogSettings;
 
@@ -17,9 +18,10 @@
  * refused in one line with its place.
  *
  * @param stateFolder where to keep what the balancer knows; empty if nothing is said
+ * @param fleet how to belong to a fleet; empty for a balancer by itself
  */
-public record OperatorFile(LogSettings log, String stateFolder) {
-    private static final List<String> SECTIONS = List.of("log", "state");
+public record OperatorFile(LogSettings log, String stateFolder, Optional<FleetSettings> fleet) {
+    private static final List<String> SECTIONS = List.of("log", "state", "fleet");
     private static final List<String> LOG_KEYS = List.of("format", "level", "levels");
 
     /** Reads and checks a file. */
@@ -36,7 +38,9 @@
         keys(file, "", tree, SECTIONS);
         JsonNode log = section(file, tree, "log", LOG_KEYS);
         JsonNode state = section(file, tree, "state", List.of("folder"));
-        return new OperatorFile(log(file, log), text(file, "state.folder", state.path("folder"), ""));
+        JsonNode fleet = section(file, tree, "fleet", FleetSettings.KEYS);
+        return new OperatorFile(log(file, log), text(file, "state.folder", state.path("folder"), ""),
+                fleet.isMissingNode() ? Optional.empty() : Optional.of(FleetSettings.read(file, fleet)));
     }
 
     private static JsonNode section(Path file, JsonNode tree, String name, List<String> known)
@@ -73,7 +77,7 @@
         }
     }
 
-    private static String text(Path file, String key, JsonNode value, String otherwise)
+    static String text(Path file, String key, JsonNode value, String otherwise)
             throws BadOperatorFile {
         if (value.isMissingNode()) {
             return otherwise;
--- a/src/test/java/yewyoke/settings/OperatorFileTest.java
+++ b/src/test/java/yewyoke/settings/OperatorFileTest.java
@@ -27,6 +27,7 @@
         OperatorFile file = OperatorFile.read(Path.of("deploy", "operator.toml"));
         assertEquals(LogSettings.Format.JSON, file.log().format());
         assertEquals(Map.of("yewyoke.node.Discovery", "debug"), file.log().levels());
+        assertTrue(file.fleet().isEmpty());
     }
 
     @Test
@@ -38,7 +39,7 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
-        "[lag]\\n | lag: unknown key; expected one of log, state",
+        "[lag]\\n | lag: unknown key; expected one of log, state, fleet",
         "log = 1 | log: expected a section [log]",
         "[log]\\nfrmat = \"json\" | log.frmat: unknown key; expected one of format, level, levels",
         "[log]\\nformat = \"xml\" | [log]: expected plain, text or json, got xml",
