Split the decisions into modules that an operator could name

- yewyoke.decide has one module for each concern, with its constants; modules hold no state.
- yewyoke.decide.kept has what an instance keeps: each module's part of an upstream is a class of its own, and DirectionsTest holds that no other module touches it.
- yewyoke.decide.data has the arithmetic that decides nothing.
- Balance stays the way in; nothing else outside may use the inner packages.

No behaviour changes.

--- /dev/null
+++ b/src/main/java/yewyoke/decide/Admission.java
@@ -0,0 +1,58 @@
+package yewyoke.decide;
+
+import yewyoke.Balancer.Request;
+import yewyoke.Balancer.Settings;
+import yewyoke.decide.kept.Attempt;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.OpenRequest;
+
+/** Takes a request in, with its worth and its times. */
+final class Admission {
+    private static final long LONGEST_BODY = 600_000_000; // a request that is still arriving has so long
+
+    static void take(Books b, long now, Request request, boolean arriving) {
+        Settings settings = b.settings();
+        OpenRequest r = new OpenRequest(request, b.traffic.lane(request.classIndex()), settings.limits(),
+                b.open.nextNumber(), now);
+        if (arriving) {
+            r.arriving = true;
+            r.deadline = now + LONGEST_BODY;
+            r.aimAt = r.deadline;
+        }
+        if (request.retry()) {
+            // Its aim runs from the first try, and a refusal is what mostly lies behind it.
+            r.aimAt -= (long) r.lane.refusedAfter();
+        }
+        // Beyond its tenant's part a request only loses its place among those held: that part is a guess,
+        // since traffic is not spread alike.
+        r.value = r.cls.worth() / (settings.worthByWork() ? 1 : r.cost)
+                * (b.tenants.within(request.tenant(), now) ? 1 : settings.overShareWorth());
+        b.traffic.count(r.cost);
+        b.open.add(r);
+        Waiting.hold(b, r, now);
+        Asking.earn(b, request.retry());
+        Asking.ask(b, now);
+        Waiting.pump(b, now);
+        while (b.held.tooMany()) {
+            Answers.finish(b, b.held.last(), now);
+        }
+        Answers.expire(b, now);
+    }
+
+    /** All of it has come: its time begins. */
+    static void received(Books b, long now, String request) {
+        OpenRequest r = b.open.get(request);
+        if (r == null || r.ended || !r.arriving) {
+            return;
+        }
+        r.arriving = false;
+        b.open.countFrom(r, now);
+        for (Attempt t : r.attempts) {
+            if (t.outstanding) {
+                Attempts.count(b, r, t, now);
+            }
+        }
+        Waiting.pump(b, now);
+        Answers.expire(b, now);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Asking.java
@@ -0,0 +1,105 @@
+package yewyoke.decide;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import yewyoke.Balancer.LoadReport;
+import yewyoke.Balancer.Reports;
+import yewyoke.decide.data.Jitter;
+import yewyoke.decide.data.Smooth;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.Host;
+
+/** Asks upstreams for their load: those of the subset before a pick, or one now and then. */
+final class Asking {
+    private static final long FIRST_ASK = 5_000; // expected round trip of a probe until one was seen
+    private static final double ASK_SAVED = 10; // requests' worth of asking saved up for those held
+    private static final double SMOOTH = 0.15; // smoothing of each round trip: as an upstream's own times
+    private static final int MOST_ACTIVE = 255; // beyond, one more or less no longer matters
+    private static final double PROBE_POINTS = 0.003; // points that slow steady probing may cost
+    private static final long PROBE_GAP = 300_000; // no upstream is probed more often than this by it
+
+    static void start(Books b, long now) {
+        b.asking.took = FIRST_ASK;
+        b.asking.nextProbe = now + Jitter.around(PROBE_GAP, b.random);
+    }
+
+    /** A request has come, and pays for so much asking. */
+    static void earn(Books b, boolean retry) {
+        double asks = b.terms.asksEach;
+        b.asking.tokens = Math.min(b.asking.tokens + (retry ? 1 : asks), ASK_SAVED * asks);
+    }
+
+    /** Whether answers are still awaited that a pick needs. */
+    static boolean pending(Books b, long now) { return now < b.asking.decideAt; }
+
+    /** Asks the subset for its load before a pick; those that stay silent meanwhile stand still. */
+    static void ask(Books b, long now) {
+        if (!b.terms.asks || pending(b, now) || b.held.isEmpty()) {
+            return;
+        }
+        boolean panic = Health.panic(b.ups.all(), now);
+        for (Host up : Subset.candidates(b, now)) {
+            long askedAt = up.asking.askedAt;
+            boolean known = fresh(b, up, now)
+                    || askedAt > b.others.seenAt(up) && now - askedAt < b.terms.waitTarget;
+            if (!known && (panic || !Health.ejected(up, now)) && b.asking.tokens >= 1
+                    && Pick.hasRoom(b, up, b.held.first(), now)) {
+                b.asking.tokens--;
+                up.asking.askedAt = now;
+                b.out.probe(up.id);
+                b.asking.decideAt = now + (long) (2 * b.asking.took);
+            }
+        }
+        if (b.asking.decideAt > now) {
+            b.out.timer("ask", b.asking.decideAt - now);
+        }
+    }
+
+    /** Whether it was heard of as lately as asking can bring. */
+    static boolean fresh(Books b, Host up, long now) {
+        return now - b.others.seenAt(up) <= 4 * b.asking.took;
+    }
+
+    /** It stands still, or asking was too dear: in a jam, blind sends crowded every upstream. */
+    static boolean silent(Books b, Host up, long now) { return b.terms.asks && !fresh(b, up, now); }
+
+    static void heard(Books b, Host up, LoadReport load, long now) {
+        if (b.terms.asks && load != null && load.active() >= 0) {
+            double foreign = Math.min(load.active(), MOST_ACTIVE) - up.inFlight.requests();
+            b.others.saw(up, Math.max(0, foreign), now);
+            double took = Smooth.into(b.asking.took, now - up.asking.askedAt, SMOOTH);
+            b.asking.took = Math.max(b.settings().tick(), took);
+        }
+    }
+
+    /** Whether all that were asked have answered: then a pick waits no longer. */
+    static boolean allHeard(Books b, long now) {
+        if (!b.terms.asks) {
+            return false;
+        }
+        for (Host up : Subset.candidates(b, now)) {
+            if (b.others.seenAt(up) < up.asking.askedAt) {
+                return false;
+            }
+        }
+        b.asking.decideAt = now;
+        return true;
+    }
+
+    /** A slow steady probe where reports come no other way; its rate follows from price and traffic. */
+    static void probe(Books b, long now) {
+        List<Host> all = b.ups.all();
+        if (b.terms.asks || b.settings().reports() != Reports.BY_PROBE
+                || !b.settings().limits().probes() || now < b.asking.nextProbe || all.isEmpty()) {
+            return;
+        }
+        double price = b.settings().prices().probe();
+        double share = price > 0 ? PROBE_POINTS / price : 1;
+        double perSecond = Math.min(share * Math.max(b.traffic.rate(), 1), all.size() * 1e6 / PROBE_GAP);
+        b.asking.nextProbe = now + Jitter.around((long) (1e6 / perSecond), b.random);
+        Host oldest = Collections.min(all, Comparator.comparingLong(u -> u.asking.probedAt));
+        oldest.asking.probedAt = now;
+        b.out.probe(oldest.id);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/ColdBudgets.java
@@ -0,0 +1,71 @@
+package yewyoke.decide;
+
+import yewyoke.Balancer.RuleFigures;
+import yewyoke.decide.data.TokenBucket;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.ColdState;
+import yewyoke.decide.kept.Host;
+import yewyoke.decide.kept.OpenRequest;
+
+/** What an upstream may get that has just started. */
+final class ColdBudgets {
+    private static final double COLD_CARE = 0.2; // of our share of a cold upstream's budget: much is unseen
+    private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
+    private static final double RATE_SHARE = 0.08; // smoothing of each period's work: some seconds count
+
+    /** The bucket starts at random, or all would have saved up for a first request at the same moment. */
+    static void begin(Books b, Host up, long now) {
+        up.cold.bucket.start(b.traffic.meanCost() * (2 * b.random.nextDouble() - 1), now);
+    }
+
+    static void recall(Books b, double warmRate) { b.cold.warmRate = warmRate; }
+
+    /** The share of its capacity that an upstream has by its age. */
+    static double warmth(Books b, Host up, long now) {
+        double age = Math.max(0, now - up.entry().launchedAt());
+        RuleFigures f = b.settings().rules();
+        return up.entry().launchedAt() <= 0 || age >= f.coldTime() ? 1
+                : f.startCapacity() + (1 - f.startCapacity()) * age / f.coldTime();
+    }
+
+    /**
+     * A cold upstream takes fallMultiple times its capacity at most. Our part is that multiple of what a warm
+     * upstream does for us: over all balancers this sums to the capacity, however unevenly traffic is spread.
+     * Work that was sent and turned away does not count, or a storm of rejections would swell the budget.
+     */
+    static boolean hasRoom(Books b, Host up, OpenRequest r, long now) {
+        double warmth = warmth(b, up, now);
+        if (warmth >= 1 || b.terms.hears() && up.inFlight.requests() + b.others.of(up, now) >= 1) {
+            return warmth >= 1;
+        }
+        RuleFigures f = b.settings().rules();
+        double rate = COLD_CARE * f.fallMultiple() * warmth * b.cold.warmRate * b.terms.rating(up)
+                / (b.beside ? 2 : 1);
+        double most = Math.max(rate * f.fallTime(), COLD_COST * b.traffic.meanCost());
+        TokenBucket bucket = up.cold.bucket;
+        bucket.fill(rate * bucket.since(now), most, now);
+        return bucket.tokens() >= charge(b, r);
+    }
+
+    static void spend(Books b, Host up, OpenRequest r) { up.cold.bucket.spend(charge(b, r)); }
+
+    /** At least a mean request: those with hints small enough for the bucket are dearer than they say. */
+    private static double charge(Books b, OpenRequest r) { return Math.max(r.cost, b.traffic.meanCost()); }
+
+    static void served(Host up, double cost) { up.cold.doneWork += cost; }
+
+    /** What each of the subset did in the last period, and so what a warm one does for us. */
+    static void measure(Books b, long now, long period) {
+        double sum = 0, size = 0;
+        for (Host up : Subset.all(b)) {
+            ColdState c = up.cold;
+            c.doneRate += RATE_SHARE * (c.doneWork / period - c.doneRate);
+            c.doneWork = 0;
+            if (warmth(b, up, now) >= 1) {
+                sum += c.doneRate;
+                size += b.terms.rating(up);
+            }
+        }
+        b.cold.warmRate = size > 0 ? sum / size : b.cold.warmRate;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Listing.java
@@ -0,0 +1,66 @@
+package yewyoke.decide;
+
+import java.util.List;
+import yewyoke.Balancer.ListKind;
+import yewyoke.Balancer.Upstream;
+import yewyoke.decide.data.Jitter;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.Host;
+
+/** What the list of upstreams says, and how far it is believed. */
+final class Listing {
+    private static final long ASK_AGAIN = 1_000_000; // mean pause before a failed subscription is tried again
+
+    static void subscribe(Books b) {
+        if (b.settings().askForList()) {
+            b.out.watch(true);
+        }
+    }
+
+    static void subscribeAgain(Books b, long now) {
+        if (now >= b.listing.askAgainAt) {
+            b.listing.askAgainAt = b.settings().askForList() ? Long.MAX_VALUE : b.listing.askAgainAt;
+            subscribe(b);
+        }
+    }
+
+    /** Whether there is a list now. */
+    static boolean take(Books b, long now, ListKind kind, List<Upstream> entries) {
+        if (kind == ListKind.UNAVAILABLE) {
+            b.listing.askAgainAt = now + Jitter.around(ASK_AGAIN, b.random);
+            return false;
+        }
+        if (kind != ListKind.CHANGES) {
+            b.ups.keepOnly(entries);
+        }
+        b.listing.confirmed |= kind != ListKind.RESTORED;
+        entries.forEach(e -> b.ups.put(process(b, now, e), e));
+        b.ups.settle();
+        return true;
+    }
+
+    /** A new process starts afresh: what the old one held and what was known of it say nothing now. */
+    private static Host process(Books b, long now, Upstream e) {
+        Host known = b.ups.get(e.id());
+        if (known != null && e.launchedAt() <= known.entry().launchedAt()) {
+            return known;
+        }
+        Host up = new Host(e.id(), b.settings().position());
+        if (known != null) {
+            Weights.inherit(up, known);
+        }
+        Health.begin(up);
+        b.times.begin(up);
+        InFlightLimits.begin(b, up);
+        ColdBudgets.begin(b, up, now);
+        return up;
+    }
+
+    static void trust(Host up, double trust) { up.list.trust = trust; }
+
+    /** What one may get that nobody has named since the start: if long ago, as little as a cold one. */
+    static double allowance(Books b, Host up) {
+        double least = b.settings().rules().startCapacity();
+        return b.listing.confirmed || up.answered() ? 1 : least + (1 - least) * up.list.trust;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Repeats.java
@@ -0,0 +1,40 @@
+package yewyoke.decide;
+
+import yewyoke.Balancer.Effect;
+import yewyoke.Balancer.Scope;
+import yewyoke.Balancer.Upstream;
+import yewyoke.decide.kept.Attempt;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.Host;
+import yewyoke.decide.kept.OpenRequest;
+
+/** What is legal: whether a request may be sent, or sent again, and whether it may be refused. */
+final class Repeats {
+    /** What rules 1 to 3 leave open for a further attempt. */
+    static boolean maySend(Books b, OpenRequest r, Host up, long now) {
+        if (r.ended || r.streaming || r.attempts.size() >= r.limits.maxAttempts()
+                || now >= r.deadline) {
+            return false;
+        }
+        if (r.attempts.isEmpty()) {
+            return true;
+        }
+        if (r.outstanding() > 0 && !r.limits.secondCopies()) {
+            return false;
+        }
+        Attempt guard = r.guard();
+        return guard == null || r.cls.effect() == Effect.SAFE
+                || r.cls.effect() == Effect.KEYED && sameGroup(r.cls.scope(), guard.up.entry(), up.entry())
+                && now - guard.sentAt < r.cls.memorySpan() - b.terms.margin;
+    }
+
+    private static boolean sameGroup(Scope scope, Upstream a, Upstream b) {
+        return scope == Scope.ALL || scope == Scope.ZONE && a.zone() == b.zone()
+                || scope == Scope.CELL && a.cell() == b.cell();
+    }
+
+    static boolean mayRefuse(OpenRequest r) {
+        return r.cls.effect() == Effect.SAFE || r.guard() == null
+                || r.cls.effect() == Effect.KEYED && r.cls.scope() == Scope.ALL;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Sweep.java
@@ -0,0 +1,56 @@
+package yewyoke.decide;
+
+import java.util.List;
+import yewyoke.decide.data.Jitter;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.Host;
+
+/** What is done now and then, whether or not something happens. */
+final class Sweep {
+    private static final long SWEEP = 10_000; // mean time between looks at what is held; jittered
+    private static final long IDLE_SWEEP = 50_000; // with nothing held: timers cost CPU in large groups
+    private static final double HELD_CHANCE = 0.25; // a sweep's, to send what is held where others hold too
+
+    static void start(Books b, long now) {
+        b.sweep.nextReweight = now + Jitter.around(Weights.PERIOD, b.random);
+        Asking.start(b, now);
+        in(b, SWEEP, now);
+    }
+
+    private static void in(Books b, long span, long now) {
+        b.sweep.next = now + span;
+        b.out.timer("sweep", span);
+    }
+
+    /** Something is held: the next look must not be an idle one. */
+    static void soon(Books b, long now) {
+        if (b.sweep.next - now > 2 * SWEEP) {
+            in(b, Jitter.around(SWEEP, b.random), now);
+        }
+    }
+
+    static void timer(Books b, long now) {
+        if (now < b.sweep.next) {
+            return;
+        }
+        List<Host> all = b.ups.all();
+        in(b, Jitter.around(b.held.isEmpty() ? IDLE_SWEEP : SWEEP, b.random), now);
+        Answers.expire(b, now);
+        Health.checkHanging(b, now);
+        Waiting.shed(b, now);
+        if (now >= b.sweep.nextReweight) {
+            long period = Jitter.around(Weights.PERIOD, b.random);
+            ColdBudgets.measure(b, now, period);
+            b.traffic.measure(period);
+            b.times.measureUnit(all);
+            Weights.reweight(all, now);
+            b.sweep.nextReweight = now + period;
+        }
+        Listing.subscribeAgain(b, now);
+        Asking.probe(b, now);
+        Asking.ask(b, now);
+        if (!b.terms.tells || b.random.nextDouble() < HELD_CHANCE) {
+            Waiting.pump(b, now); // news is a network delay old: else all sharers take the same freed place
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Telling.java
@@ -0,0 +1,32 @@
+package yewyoke.decide;
+
+import yewyoke.decide.data.InFlightMessage;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.Host;
+
+/** Tells the other balancers that use an upstream what we have in flight there, and hears it of them. */
+final class Telling {
+    static void tell(Books b, Host up) {
+        if (!b.terms.tells || !b.ups.has(up)) {
+            return;
+        }
+        if (up.telling.sharers == null) {
+            up.telling.sharers = b.ups.sharers(up, Subset.size(b), b.settings().groupSize(),
+                    b.settings().position());
+        }
+        byte[] message = InFlightMessage.write(up.name, b.others.units(up));
+        up.telling.sharers.forEach(p -> b.out.tell(p, message));
+    }
+
+    /** A garbled or foreign message names no upstream that we know, and changes nothing. */
+    static void heard(Books b, long now, int from, byte[] body) {
+        if (!b.terms.tells || body.length != InFlightMessage.BYTES || from < 0
+                || from >= b.settings().groupSize()) {
+            return;
+        }
+        Host up = b.ups.named(InFlightMessage.name(body));
+        if (up != null) {
+            b.others.told(up, from, InFlightMessage.parts(body), now);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Terms.java
@@ -0,0 +1,44 @@
+package yewyoke.decide;
+
+import yewyoke.Balancer.Reports;
+import yewyoke.Balancer.RequestClass;
+import yewyoke.Balancer.Settings;
+import yewyoke.SettingsCheck;
+import yewyoke.decide.data.InFlightMessage;
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.TermsState;
+
+/** What follows from the settings alone. */
+final class Terms {
+    static final double FEW = 4; // with fewer balancers, the line here is the line everywhere
+    static final int SHARERS = 12; // balancers to an upstream: few enough to tell and to be connected
+    static final int LEAST_SUBSET = 2; // upstreams to a balancer: with one there is no pick
+    private static final double WAIT_SHARE = 0.1; // waiting aimed at under our own limit, of the aim
+    private static final double WAIT_MORE = 0.2; // added with FEW balancers: the line is ours
+    private static final double NEWS_POINTS = 0.02; // points of the result that in-flight news may cost
+    private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
+
+    /** Bad settings are refused with the field's name, and the old ones stay. */
+    static void take(Books b, Settings next) {
+        SettingsCheck.check(next);
+        TermsState t = b.terms;
+        t.settings = next;
+        t.margin = MARGIN_TICKS * Math.max(next.tick(), 1_000);
+        t.waitShare = WAIT_SHARE + WAIT_MORE * Math.min(1, FEW / next.groupSize());
+        t.waitTarget = (long) (t.waitShare * tightest(next));
+        boolean others = next.groupSize() > 1;
+        t.tells = next.limits().peers() && others
+                && 2.0 * SHARERS * InFlightMessage.BYTES / 256 * next.prices().peer() < NEWS_POINTS;
+        t.asksEach = NEWS_POINTS / Math.max(next.prices().probe(), 1e-6);
+        t.asks = next.limits().probes() && next.reports() == Reports.BY_PROBE
+                && t.asksEach > LEAST_SUBSET && others;
+        b.others.toldHolds(2 * t.waitTarget / t.waitShare);
+        b.traffic.take(next.classes());
+        b.tenants.take(next.tenants(), next.groupSize());
+    }
+
+    /** The least aim of all classes. */
+    static long tightest(Settings settings) {
+        return settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/Waiting.java
@@ -0,0 +1,77 @@
+package yewyoke.decide;
+
+import yewyoke.decide.kept.Books;
+import yewyoke.decide.kept.Host;
+import yewyoke.decide.kept.OpenRequest;
+
+/** Requests that wait for an upstream: when they are sent, and when waiting is of no use any more. */
+final class Waiting {
+    private static final int MISSES = 3; // held ones without an upstream until the rest is left for later
+    private static final double HELD_PART = 0.45; // of its time that a request may wait unsent
+
+    static void hold(Books b, OpenRequest r, long now) {
+        r.home = KeyHomes.of(b, r, now);
+        b.held.add(r);
+    }
+
+    /** Sends what is held, dearest first, as long as upstreams have room; but first keys to their homes. */
+    static void pump(Books b, long now) {
+        if (!b.held.isEmpty()) {
+            Sweep.soon(b, now);
+        }
+        if (Asking.pending(b, now)) {
+            return;
+        }
+        if (b.settings().warmKeys() && b.held.size() > 1) {
+            sendHome(b, now);
+        }
+        int misses = 0;
+        for (OpenRequest r = b.held.first(); r != null && misses < MISSES;) {
+            OpenRequest following = b.held.after(r);
+            Host up = Pick.pick(b, r, now, false);
+            if (up != null) {
+                Attempts.send(b, r, up, now);
+            } else {
+                misses++;
+            }
+            r = following;
+        }
+    }
+
+    /** With scarce room the first would take it, keys be served cold everywhere and the jam last. */
+    private static void sendHome(Books b, long now) {
+        boolean panic = Health.panic(b.ups.all(), now);
+        for (OpenRequest r : b.held.all()) {
+            if (r.home != null && !r.late && Pick.hasRoom(b, r.home, r, now)
+                    && Pick.mayTake(b, r.home, r, now, panic)) {
+                Attempts.send(b, r, r.home, now);
+            }
+        }
+    }
+
+    /**
+     * Refuses held requests that come too late and are worth nothing then; with some balancers, each also
+     * those that waited for long: another may have room. With fewer, the line here is the line everywhere.
+     */
+    static void shed(Books b, long now) {
+        boolean many = b.settings().groupSize() >= Terms.FEW;
+        for (OpenRequest r : b.held.all()) {
+            if (many && r.attempts.isEmpty() && !r.arriving
+                    && now - r.arrivedAt > HELD_PART * r.request.timeLeft()) {
+                Answers.finish(b, r, now);
+                continue;
+            }
+            double late = r.cls.lateWorth();
+            double least = b.terms.hears() ? b.traffic.size(r) * b.times.typicalPace()
+                    : Math.max(r.ownService(b.times.unitTook()), r.lane.took());
+            if (now + least > r.aimAt && late <= 0) {
+                Answers.finish(b, r, now);
+            } else if (now + least > r.aimAt && !r.late) {
+                r.late = true;
+                b.held.remove(r);
+                r.value *= late;
+                hold(b, r, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/data/Smooth.java
@@ -0,0 +1,11 @@
+package yewyoke.decide.data;
+
+/** Exponential smoothing. */
+public final class Smooth {
+    private Smooth() { }
+
+    /** {@code old} moved by {@code share} of the way to the sample; the first sample is taken as it is. */
+    public static double into(double old, double sample, double share) {
+        return old == 0 ? sample : old + share * (sample - old);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/kept/AskingState.java
@@ -0,0 +1,21 @@
+package yewyoke.decide.kept;
+
+/** What asking keeps of an upstream. */
+public final class AskingState {
+    /** When it was last asked before a pick. */
+    public long askedAt = HealthState.NEVER;
+    /** When it was last probed apart from that. */
+    public long probedAt = HealthState.NEVER;
+
+    /** What asking keeps beside. */
+    public static final class Own {
+        /** Until when a pick waits for answers. */
+        public long decideAt;
+        /** When to probe next. */
+        public long nextProbe;
+        /** What may be asked. */
+        public double tokens;
+        /** The usual round trip of a probe, in microseconds. */
+        public double took;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/kept/Books.java
@@ -0,0 +1,66 @@
+package yewyoke.decide.kept;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import yewyoke.Balancer.Actions;
+import yewyoke.Balancer.Known;
+import yewyoke.Balancer.Memory;
+import yewyoke.Balancer.Settings;
+
+/** The books of one instance: all that its modules keep, and what they share. */
+public final class Books {
+    /** Where the decisions go. */
+    public final Actions out;
+    /** Chance. */
+    public final RandomGenerator random;
+    /** What the settings say. */
+    public final TermsState terms = new TermsState();
+    /** The list. */
+    public final Upstreams ups = new Upstreams();
+    /** The part of the list's own. */
+    public final ListState.Own listing = new ListState.Own();
+    /** Requests that are open. */
+    public final OpenRequests open = new OpenRequests();
+    /** Those of them that wait for an upstream. */
+    public final Held held = new Held();
+    /** What was measured of requests. */
+    public final Traffic traffic = new Traffic();
+    /** What tenants have left. */
+    public final Tenants tenants = new Tenants();
+    /** What was measured of upstreams. */
+    public final ServiceTimes times = new ServiceTimes();
+    /** What other balancers have in flight. */
+    public final Others others = new Others(traffic, times);
+    /** The cold budgets' own part. */
+    public final ColdState.Own cold = new ColdState.Own();
+    /** The part of asking. */
+    public final AskingState.Own asking = new AskingState.Own();
+    /** The sweep's part. */
+    public final SweepState sweep = new SweepState();
+
+    /** Whether a second process of this balancer serves. */
+    public boolean beside;
+
+    /** Empty ones. */
+    public Books(RandomGenerator random, Actions out) {
+        this.random = random;
+        this.out = out;
+    }
+
+    /** Those that hold now. */
+    public Settings settings() {
+        return terms.settings;
+    }
+
+    /** What was learnt, with {@code most} upstreams from place {@code from}. */
+    public Memory memory(long now, int from, int most) {
+        List<Host> all = ups.all();
+        List<Known> known = new ArrayList<>();
+        for (Host up : all.subList(Math.min(from, all.size()), Math.min(from + most, all.size()))) {
+            known.add(up.known(now));
+        }
+        return new Memory(times.typicalTook(), times.typicalPace(), times.unitTook(), cold.warmRate,
+                traffic.meanCost(), traffic.rate(), traffic.classes(), known);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/kept/Host.java
@@ -0,0 +1,79 @@
+package yewyoke.decide.kept;
+
+import yewyoke.Balancer.Known;
+import yewyoke.Balancer.Upstream;
+import yewyoke.decide.data.InFlight;
+import yewyoke.decide.data.InFlightMessage;
+import yewyoke.decide.data.Mix;
+
+/** An upstream's process, with what each module keeps of it. */
+public final class Host {
+    /** As discovery has it. */
+    public final String id;
+    /** By which messages name it. */
+    public final int name;
+    /** Its place in this balancer's order: the least first. */
+    public final long rank;
+    /** What this balancer has in flight there. */
+    public final InFlight inFlight = new InFlight();
+    /** The list's part. */
+    public final ListState list = new ListState();
+    /** The mechanism's part. */
+    public final WeightState weight = new WeightState();
+    /** The part of health. */
+    public final HealthState health = new HealthState();
+    /** The in-flight limit's part. */
+    public final LimitState limit = new LimitState();
+    /** The cold budget's part. */
+    public final ColdState cold = new ColdState();
+    /** The part of asking. */
+    public final AskingState asking = new AskingState();
+    /** The part of telling. */
+    public final TellingState telling = new TellingState();
+    final ServiceTimes.Part times = new ServiceTimes.Part();
+    final Others.Part others = new Others.Part();
+
+    /** One of which nothing is known yet, as the balancer in that position sees it. */
+    public Host(String id, int position) {
+        this.id = id;
+        this.name = InFlightMessage.name(id);
+        this.rank = rank(Mix.mix(position + 1));
+    }
+
+    /** Rendezvous hashing: which upstreams a balancer prefers, as any other can work out. */
+    public long rank(long salt) {
+        return Mix.pair(name, salt);
+    }
+
+    /** As discovery last named it. */
+    public Upstream entry() {
+        return list.entry;
+    }
+
+    /** Whether it has ever answered. */
+    public boolean answered() {
+        return health.answeredAt != HealthState.NEVER;
+    }
+
+    /** What was learnt of it, for a later instance. */
+    public Known known(long now) {
+        return new Known(id, list.entry.launchedAt(), answered() ? now - health.answeredAt : -1,
+                weight.log, limit.limit, times.least.value(), times.took, times.pace, health.errors,
+                Math.max(0, health.ejectedUntil - now), health.ejection, cold.doneRate,
+                cold.bucket.tokens(), inFlight.requests());
+    }
+
+    /** Takes over what is believed of an earlier instance's word, whose least time is of {@code then}. */
+    public void recall(Known k, long then, long now) {
+        weight.set(k.logWeight());
+        limit.limit = k.limit();
+        times.least.start(k.least(), then);
+        times.took = k.took();
+        times.pace = k.pace();
+        health.errors = k.errors();
+        health.ejectedUntil = k.ejectedFor() > 0 ? now + k.ejectedFor() : health.ejectedUntil;
+        health.ejection = k.ejectedFor() > 0 ? k.ejection() : health.ejection;
+        cold.doneRate = k.doneRate();
+        cold.bucket.start(k.tokens(), now);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/kept/ListState.java
@@ -0,0 +1,19 @@
+package yewyoke.decide.kept;
+
+import yewyoke.Balancer.Upstream;
+
+/** What the list keeps of an upstream. */
+public final class ListState {
+    /** As last named. */
+    public Upstream entry;
+    /** In that it still is there, from 1 to 0, until discovery or it itself has said so. */
+    public double trust = 1;
+
+    /** What the list keeps beside. */
+    public static final class Own {
+        /** Whether discovery has named the list since the start. */
+        public boolean confirmed;
+        /** When to subscribe again. */
+        public long askAgainAt = Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/kept/SweepState.java
@@ -0,0 +1,9 @@
+package yewyoke.decide.kept;
+
+/** What the sweep keeps. */
+public final class SweepState {
+    /** When to look next at what is held. */
+    public long next;
+    /** When to reweight, at the first look after it. */
+    public long nextReweight;
+}
--- /dev/null
+++ b/src/main/java/yewyoke/decide/kept/Traffic.java
@@ -0,0 +1,87 @@
+package yewyoke.decide.kept;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewyoke.Balancer.ClassMemory;
+import yewyoke.Balancer.Memory;
+import yewyoke.Balancer.Request;
+import yewyoke.Balancer.RequestClass;
+import yewyoke.decide.data.Smooth;
+
+/** What was measured of the requests that come here: their classes, their rate, their mean cost. */
+public final class Traffic {
+    private static final double COST_SHARE = 0.01; // of each request: the mean is to stay when a few are dear
+    private static final double RATE_SHARE = 0.1; // of each period: some seconds count
+
+    private Lane[] lanes = {};
+    private long since;
+    private double rate;
+    private double meanCost;
+
+    /** These classes from now on. */
+    public void take(List<RequestClass> classes) {
+        Lane[] old = lanes;
+        lanes = classes.stream().map(c -> new Lane(c, old)).toArray(Lane[]::new);
+    }
+
+    /** The class in this place. */
+    public Lane lane(int index) {
+        return lanes[index];
+    }
+
+    /** One has come. */
+    public void count(double cost) {
+        meanCost = Smooth.into(meanCost, cost, COST_SHARE);
+        since++;
+    }
+
+    /** So many microseconds have passed since the last time. */
+    public void measure(long period) {
+        rate += RATE_SHARE * (since * 1e6 / period - rate);
+        since = 0;
+    }
+
+    /** Requests a second. */
+    public double rate() {
+        return rate;
+    }
+
+    /** The mean of what they cost, in microseconds of work; 0 before the first. */
+    public double meanCost() {
+        return meanCost;
+    }
+
+    /** What a request costs, as far as its hint or its class tells; never 0. */
+    public static double cost(Request request, Lane lane) {
+        return request.expectedWork() > 0 ? request.expectedWork() : lane.took() > 0 ? lane.took() : 1;
+    }
+
+    /** A request in mean requests, by its hint; 1 without one. */
+    public double size(OpenRequest r) {
+        return r.request.expectedWork() > 0 ? r.cost / Math.max(meanCost, 1) : 1;
+    }
+
+    /** What the classes have learnt. */
+    public List<ClassMemory> classes() {
+        List<ClassMemory> classes = new ArrayList<>();
+        for (Lane l : lanes) {
+            classes.add(l.memory());
+        }
+        return classes;
+    }
+
+    /** Takes over rate and cost where nothing was learnt; {@code left} of the rate is believed. */
+    public void recall(Memory memory, double left) {
+        meanCost = meanCost == 0 ? memory.cost() : meanCost;
+        rate = memory.requestRate() * left;
+    }
+
+    /** Takes over what classes had learnt, where these have learnt nothing. */
+    public void recall(List<ClassMemory> classes) {
+        for (Lane l : lanes) {
+            for (ClassMemory c : classes) {
+                l.recall(c);
+            }
+        }
+    }
+}
--- a/src/test/java/yewyoke/DirectionsTest.java
+++ b/src/test/java/yewyoke/DirectionsTest.java
@@ -1,22 +1,60 @@
 package yewyoke;
 
+import static com.tngtech.archunit.core.domain.JavaAccess.Predicates.targetOwner;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.simpleName;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.Map;
 
 /** Which packages may know of which; arrows of import go downward only. */
 @AnalyzeClasses(packages = "yewyoke", importOptions = ImportOption.DoNotIncludeTests.class)
 class DirectionsTest {
+    private static final String[] DECISIONS = {"yewyoke", "yewyoke.decide.."};
     private static final String[] TOOLS = {"yewyoke.cli..", "yewyoke.lab..", "yewyoke.faults.."};
 
     @ArchTest
-    static final ArchRule DECISIONS_KNOW_NOTHING_ELSE = classes().that().resideInAPackage("yewyoke")
-            .should().onlyDependOnClassesThat().resideInAnyPackage("yewyoke", "java.lang..", "java.util..");
+    static final ArchRule DECISIONS_KNOW_NOTHING_ELSE = classes().that().resideInAnyPackage(DECISIONS)
+            .should().onlyDependOnClassesThat().resideInAnyPackage("yewyoke", "yewyoke.decide..",
+                    "java.lang..", "java.util..");
+
+    @ArchTest
+    static final ArchRule DECISIONS_ARE_REACHED_BY_THEIR_ENTRY = noClasses().that()
+            .resideOutsideOfPackage("yewyoke.decide..").and().doNotHaveFullyQualifiedName("yewyoke.Balance")
+            .should().dependOnClassesThat().resideInAPackage("yewyoke.decide..");
+
+    @ArchTest
+    static final ArchRule BOOKS_KNOW_NO_DECISIONS = noClasses().that()
+            .resideInAPackage("yewyoke.decide.kept").should().dependOnClassesThat()
+            .resideInAPackage("yewyoke.decide").orShould().dependOnClassesThat()
+            .haveFullyQualifiedName("yewyoke.Balance").orShould().dependOnClassesThat()
+            .haveFullyQualifiedName("yewyoke.Recall");
+
+    @ArchTest
+    static final ArchRule ARITHMETIC_KNOWS_ITSELF = classes().that()
+            .resideInAPackage("yewyoke.decide.data").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("yewyoke.decide.data", "java.lang..", "java.util..");
+
+    /** What a module keeps is touched by no other; the books hand it round and write it down. */
+    @ArchTest
+    static void eachModuleKeepsItsOwnState(JavaClasses all) {
+        Map.of("ListState", "Listing", "WeightState", "Weights", "HealthState", "Health", "LimitState",
+                "InFlightLimits", "ColdState", "ColdBudgets", "AskingState", "Asking", "TellingState",
+                "Telling", "SweepState", "Sweep").forEach((state, owner) -> noClasses().that()
+                .resideOutsideOfPackage("yewyoke.decide.kept").and().doNotHaveSimpleName(owner)
+                .should().dependOnClassesThat().haveNameMatching("yewyoke\\.decide\\.kept\\." + state
+                        + "(\\$.*)?").check(all));
+    }
+
+    @ArchTest
+    static final ArchRule ONLY_TERMS_WRITES_THE_TERMS = noClasses().that().doNotHaveSimpleName("Terms")
+            .should().setFieldWhere(targetOwner(simpleName("TermsState")));
 
     @ArchTest
     static final ArchRule SETTINGS_KNOW_THE_DECISIONS_AND_LOGGING = noClasses().that()
@@ -84,8 +122,8 @@
     /** The exceptions measure themselves in real time, and say so. */
     @ArchTest
     static final ArchRule TIME_IS_HANDED_IN = noClasses().that()
-            .resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.ops..", "yewyoke.exchange..",
-                    "yewyoke.http1..", "yewyoke.adapter..", "yewyoke.lab.sim..",
+            .resideInAnyPackage("yewyoke", "yewyoke.decide..", "yewyoke.node..", "yewyoke.ops..",
+                    "yewyoke.exchange..", "yewyoke.http1..", "yewyoke.adapter..", "yewyoke.lab.sim..",
                     "yewyoke.faults..").and().doNotHaveFullyQualifiedName("yewyoke.node.Rehearsal").and()
             .doNotHaveFullyQualifiedName("yewyoke.lab.sim.World").and()
             .doNotHaveFullyQualifiedName("yewyoke.lab.sim.Gateway")
