--- a/src/main/java/yewyoke/faults/Timeline.java
+++ b/src/main/java/yewyoke/faults/Timeline.java
@@ -11,7 +11,7 @@
  * Times are nanoseconds. At one instant events come in the order in which they were entered, and the loops
  * run whatever has become due before time goes on.
  */
-final class Timeline implements Ticker {
+public final class Timeline implements Ticker {
     private record Event(long at, long number, Runnable what) implements Comparable<Event> {
         @Override public int compareTo(Event other) {
             return at != other.at ? Long.compare(at, other.at) : Long.compare(number, other.number);
@@ -26,7 +26,7 @@
     private long steps;
 
     /** {@code afterStep} runs after every instant in which something happened. */
-    Timeline(Runnable afterStep) {
+    public Timeline(Runnable afterStep) {
         this.afterStep = afterStep;
     }
 
@@ -46,7 +46,8 @@
         throw new IllegalStateException("nothing may sleep in virtual time");
     }
 
-    long micros() {
+    /** Now, in microseconds. */
+    public long micros() {
         return now / 1_000;
     }
 
@@ -54,7 +55,8 @@
         return steps;
     }
 
-    void in(long micros, Runnable what) {
+    /** Lets something happen after so many microseconds; at once if there are none. */
+    public void in(long micros, Runnable what) {
         events.add(new Event(now + Math.max(0, micros) * 1_000, count++, what));
     }
 
@@ -63,7 +65,7 @@
     }
 
     /** Plays on until that time, in microseconds. */
-    void runUntil(long micros) {
+    public void runUntil(long micros) {
         long end = micros * 1_000;
         settle();
         for (long next = next(); next <= end; next = next()) {
