--- /dev/null
+++ b/src/test/java/yewyoke/calendar/steer/InTheLaboratoryTest.java
@@ -0,0 +1,176 @@
+package yewyoke.calendar.steer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import yewyoke.Balance;
+import yewyoke.Balancer;
+import yewyoke.Balancer.Actions;
+import yewyoke.Balancer.AttemptEnd;
+import yewyoke.Balancer.ListKind;
+import yewyoke.Balancer.LoadReport;
+import yewyoke.Balancer.Ratings;
+import yewyoke.Balancer.Settings;
+import yewyoke.Balancer.Upstream;
+import yewyoke.lab.scenario.Scenario;
+import yewyoke.lab.sim.World;
+
+/**
+ * The module itself, unchanged, in the laboratory's world. A shifted target is the same to it as a report
+ * that
+ * is shifted the other way, and so is the leak; the factor on the weight goes in as a rating, to the power
+ * that the pick takes.
+ */
+class InTheLaboratoryTest {
+    private static final double[] WANTED = {0.5, 0.5, 0.5, 1, 1, 1, 1, 1, 1, 1};
+    private static final double[] CAPACITY = {1, 1, 1, 1, 1, 1, 1, 1, 1, 1};
+    private static final int SERVERS = WANTED.length;
+    private static final double LEAK = 0.02; // as in Balance
+    private static final String WORLD = """
+            [run]
+            length_s = 50
+            [load]
+            of_capacity = 0.45
+            [balancers]
+            count = 3
+            [servers]
+            count = 10
+            report_period_ms = 500
+            [kind.one]
+            cores = 4
+            cold_s = 0
+            [class.only]
+            work_ms = 20
+            deadline_ms = 3000
+            """;
+
+    private enum How { NONE, WEIGHT_ONLY, TARGET_TOO }
+
+    /** Sends in each stretch of ten seconds to the halved ones, and to all. */
+    private final long[] halved = new long[10], all = new long[10];
+
+    /** One balancer with the module in it, and what it has to be told instead. */
+    private final class Steered {
+        private final Balance module;
+        private final How how;
+        private final Map<String, Double> reported = new HashMap<>();
+        private final Room room = new Room(line -> { });
+        private double[] factors = CAPACITY;
+        private long now;
+
+        Steered(Settings s, long seed, Actions out, How how) {
+            this.how = how;
+            Actions counting = (Actions) Proxy.newProxyInstance(getClass().getClassLoader(),
+                    new Class<?>[] {Actions.class}, (proxy, method, args) -> {
+                        if (method.getName().equals("send")) {
+                            int stretch = (int) ((now - 100_000_000) / 10_000_000);
+                            halved[stretch] += isHalved((String) args[1]) ? 1 : 0;
+                            all[stretch]++;
+                        }
+                        return call(out, method, args);
+                    });
+            module = new Balance(new Settings(s.zone(), s.zones(), s.position(), s.groupSize(), s.classes(),
+                    s.tenants(), s.overShareWorth(), s.worthByWork(), s.limits(), s.rules(), s.prices(),
+                    s.reports(), Ratings.NOMINAL, s.askForList(), s.warmKeys(), s.tick()), seed, counting);
+        }
+
+        Object event(java.lang.reflect.Method method, Object[] args) throws Throwable {
+            now = args != null && args.length > 0 && args[0] instanceof Long l ? l : now;
+            if (method.getName().equals("upstreams")) {
+                List<Upstream> rated = new ArrayList<>();
+                for (Object o : (List<?>) args[2]) {
+                    Upstream u = (Upstream) o;
+                    double weight = how != How.NONE && isHalved(u.id()) ? 0.5 : 1;
+                    rated.add(new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.state(),
+                            Math.pow(weight, 0.25), u.launchedAt()));
+                }
+                module.upstreams(now, (ListKind) args[1], rated);
+                return null;
+            }
+            if (method.getName().equals("outcome")) {
+                AttemptEnd e = (AttemptEnd) args[1];
+                module.outcome(now, new AttemptEnd(e.request(), e.attempt(), e.upstream(), e.outcome(),
+                        e.took(),
+                        e.concluded(), e.load() == null ? null : shifted(e.upstream(), e.load())));
+                return null;
+            }
+            return call(module, method, args);
+        }
+
+        private LoadReport shifted(String id, LoadReport load) {
+            reported.put(id, load.utilisation());
+            if (how != How.TARGET_TOO) {
+                return load;
+            }
+            int place = Integer.parseInt(id.substring(1));
+            double[] loads = new double[SERVERS];
+            for (int i = 0; i < SERVERS; i++) {
+                loads[i] = reported.getOrDefault("s" + i, Double.NaN);
+            }
+            double mean = Steering.mean(loads, CAPACITY, factors);
+            factors = Steering.plan(WANTED, CAPACITY, room.smoothed(mean)).factors();
+            double logWeight = module.memory(now, 0, SERVERS).upstreams().stream()
+                    .filter(k -> k.id().equals(id)).mapToDouble(Balancer.Known::logWeight).findFirst()
+                            .orElse(0);
+            double shift = Steering.target(factors[place], mean) - plainMean(loads) + (isHalved(id)
+                    ? LEAK * logWeight : 0);
+            return new LoadReport(load.utilisation() - shift, load.active(), load.waiting(),
+                    load.serviceTime(),
+                    load.servedPerSecond(), load.errorsPerSecond());
+        }
+    }
+
+    private static Object call(Object on, java.lang.reflect.Method method, Object[] args) throws Throwable {
+        try {
+            return method.invoke(on, args);
+        } catch (InvocationTargetException e) {
+            throw e.getCause();
+        }
+    }
+
+    /** What the module itself steers to. */
+    private static double plainMean(double[] loads) {
+        return Arrays.stream(loads).filter(l -> !Double.isNaN(l)).average().orElse(0);
+    }
+
+    private static boolean isHalved(String id) {
+        return WANTED[Integer.parseInt(id.substring(1))] == 0.5;
+    }
+
+    /** The share of the halved ones in each stretch of ten seconds. */
+    private double[] shares(How how, long seed) throws Exception {
+        Arrays.fill(halved, 0);
+        Arrays.fill(all, 0);
+        World.play(Scenario.parse("steering", WORLD), (s, own, out, truth) -> {
+            Steered steered = new Steered(s, own, out, how);
+            return (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
+                    new Class<?>[] {Balancer.class},
+                    (proxy, method, args) -> steered.event(method, args));
+        }, seed);
+        double[] shares = new double[5];
+        for (int i = 0; i < 5; i++) {
+            shares[i] = (double) halved[i] / all[i];
+        }
+        return shares;
+    }
+
+    @Test
+    void halfTheFactorHalvesTheShareAndHoldsWhileTheWeightAloneIsTakenBack() throws Exception {
+        double[] usual = shares(How.NONE, 1);
+        double[] both = shares(How.TARGET_TOO, 1);
+        double[] weight = shares(How.WEIGHT_ONLY, 1);
+        for (int stretch = 1; stretch < 5; stretch++) {
+            assertEquals(0.3, usual[stretch], 0.03);
+            assertEquals(0.5, both[stretch] / usual[stretch], 0.05, "stretch " + stretch);
+            assertTrue(weight[stretch] / usual[stretch] > 0.9, "stretch " + stretch);
+        }
+    }
+}
