Rollout: plan, verdict, stages and the parent's state, with their tests

Change: plans checked whole with digests, cohorts by names and zones, a sequential verdict, stage logic whose halt wins over everything, and the parent that keeps a balancer's processes; not wired into the command line yet.

--- /dev/null
+++ b/src/main/java/yewyoke/node/parent/Steering.java
@@ -0,0 +1,165 @@
+package yewyoke.node.parent;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import yewyoke.fleet.share.Shared;
+import yewyoke.rollout.plan.Change;
+import yewyoke.rollout.plan.Digests;
+import yewyoke.rollout.plan.Plan;
+import yewyoke.rollout.stage.Action;
+import yewyoke.rollout.stage.Rollout;
+
+/** Between the rollout's decisions and the processes, with what must outlive the parent. */
+final class Steering {
+    /**
+     * What is kept in the state folder.
+     *
+     * @param key of the plan whose change runs, empty for none
+     * @param runs what is wanted
+     * @param before what ran before that change
+     * @param finished number of the last plan that was done
+     */
+    record Kept(String key, Variant runs, Variant before, long finished) {
+        private static final String NAME = "runs";
+
+        static Kept read(Path folder, Variant base) throws IOException {
+            if (!Files.exists(folder.resolve(NAME))) {
+                return new Kept("", base, base, 0);
+            }
+            String[] t = Files.readString(folder.resolve(NAME)).split("\n", -1);
+            try {
+                return new Kept(t[0], new Variant(t[1], t[2]), new Variant(t[3], t[4]), Long.parseLong(t[5]));
+            } catch (ArrayIndexOutOfBoundsException | NumberFormatException e) {
+                throw new IOException(folder.resolve(NAME) + " is not understood; remove it to begin with "
+                        + base);
+            }
+        }
+
+        void write(Path folder) throws IOException {
+            Record.replace(folder, NAME, String.join("\n", key, runs.program(), runs.operator(),
+                    before.program(), before.operator(), Long.toString(finished), ""));
+        }
+    }
+
+    private final ParentFile file;
+    private final Keep keep;
+    private final Consumer<String> report;
+    private Rollout rollout;
+    private Kept kept;
+    private Plan begun;
+    private Variant serving;
+
+    Steering(ParentFile file, Kept kept, Keep keep, Consumer<String> report) {
+        this.file = file;
+        this.kept = kept;
+        this.keep = keep;
+        this.report = report;
+    }
+
+    /** Joined to a fleet; without one, nothing ever changes. */
+    Rollout rollout(Shared shared, RandomGenerator random) {
+        rollout = new Rollout(shared, random, kept.key(), kept.finished(), report);
+        return rollout;
+    }
+
+    /** Does what the rollout decides. */
+    void step(long now, long window) throws IOException {
+        if (rollout == null) {
+            return;
+        }
+        for (Action action : rollout.step(now, window)) {
+            if (action instanceof Action.Check check) {
+                rollout.checked(check.plan().key(), digest(check.plan().change()));
+            } else if (action instanceof Action.Begin begin) {
+                begin(now, begin.plan());
+            } else if (action instanceof Action.GoBack back) {
+                report.accept("goes back to " + kept.before() + ": " + back.reason());
+                goBack(back.key());
+            }
+        }
+        if (rollout.finished() > kept.finished()) {
+            keep(new Kept(kept.key(), kept.runs(), kept.before(), rollout.finished()));
+        }
+    }
+
+    private void begin(long now, Plan plan) throws IOException {
+        // Counted anew: much may have happened to the folder since it was checked.
+        if (!plan.change().digest().equals(digest(plan.change()))) {
+            rollout.checked(plan.key(), "");
+            rollout.failed(now, plan.key(), "finds another digest than the plan's");
+            return;
+        }
+        Variant next = changed(plan.change());
+        report.accept("changes to " + next + " by " + plan.title());
+        if (next.equals(kept.runs())) {
+            keep(new Kept(plan.key(), next, next, kept.finished()));
+            rollout.became(plan.key());
+            return;
+        }
+        begun = plan;
+        keep.want(next, kept.runs());
+    }
+
+    private void goBack(String key) throws IOException {
+        Variant to = key.equals(kept.key()) ? kept.before() : kept.runs();
+        begun = null;
+        keep.want(to, null); // there is nothing to go back to from here: it is tried until it serves
+        if (key.equals(kept.key())) {
+            keep(new Kept("", to, to, kept.finished()));
+        }
+        if (to.equals(serving)) {
+            rollout.became(kept.key());
+        }
+    }
+
+    /** That serves now. */
+    void became(Variant variant) throws IOException {
+        serving = variant;
+        if (begun != null && variant.equals(changed(begun.change()))) {
+            keep(new Kept(begun.key(), variant, kept.runs(), kept.finished()));
+            begun = null;
+        }
+        if (rollout != null && variant.equals(kept.runs())) {
+            rollout.became(kept.key());
+        }
+    }
+
+    /** That could not be brought to serve, or not for long. */
+    void failed(long now, Variant variant, String reason) throws IOException {
+        report.accept(reason + "; goes back to " + keep.wanted());
+        if (begun != null && variant.equals(changed(begun.change()))) {
+            String key = begun.key();
+            begun = null;
+            rollout.failed(now, key, reason);
+        } else if (!kept.key().isEmpty() && variant.equals(kept.runs())) {
+            String key = kept.key();
+            keep(new Kept("", kept.before(), kept.before(), kept.finished()));
+            if (rollout != null) {
+                rollout.failed(now, key, reason);
+            }
+        }
+    }
+
+    private void keep(Kept next) throws IOException {
+        kept = next;
+        kept.write(file.state());
+    }
+
+    private Variant changed(Change change) {
+        return change.kind() == Change.Kind.PROGRAM ? new Variant(change.name(), kept.runs().operator())
+                : new Variant(kept.runs().program(), change.name());
+    }
+
+    private String digest(Change change) {
+        Path root = change.kind() == Change.Kind.PROGRAM ? file.programs() : file.operators();
+        try {
+            return Digests.of(root.resolve(change.name()));
+        } catch (IOException e) {
+            report.accept("can't read " + root.resolve(change.name()) + ": " + e.getMessage());
+            return "";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/rollout/stage/Halts.java
@@ -0,0 +1,40 @@
+package yewyoke.rollout.stage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Map;
+import yewyoke.fleet.share.Item.Flag;
+import yewyoke.fleet.share.Shared;
+
+/**
+ * The flag of a plan: up once, it is up for ever, and no vote, later statement or higher number undoes it.
+ */
+final class Halts {
+    private Halts() { }
+
+    static String topic(String key) {
+        return "rollout/halt/" + key;
+    }
+
+    static boolean up(Shared shared, String key) {
+        return !shared.raised(topic(key)).isEmpty();
+    }
+
+    static void raise(Shared shared, long now, String key, String reason) {
+        byte[] bytes = reason.getBytes(StandardCharsets.UTF_8);
+        shared.raise(now, topic(key), Arrays.copyOf(bytes, Math.min(bytes.length, Shared.LONGEST_REASON)));
+    }
+
+    /** Who halted and why, fit for a log line whatever was sent. */
+    static String reason(Shared shared, String key) {
+        Map<String, Flag> flags = shared.raised(topic(key));
+        return flags.entrySet().stream().sorted(Map.Entry.comparingByKey()).findFirst()
+                .map(e -> e.getKey() + ": "
+                        + plain(new String(e.getValue().reason(), StandardCharsets.UTF_8)))
+                .orElse("");
+    }
+
+    private static String plain(String text) {
+        return text.replaceAll("[^\\p{L}\\p{N}\\p{Punct} ]", "?");
+    }
+}
