--- a/src/main/java/yewyoke/exchange/Back.java
+++ b/src/main/java/yewyoke/exchange/Back.java
@@ -34,6 +34,15 @@
 
     /** Gets the end of an attempt, exactly once. */
     interface Listener {
+        /**
+         * Asked once, right before the first byte goes out: whether the attempt may still begin. Dialling,
+         * held-up bodies and a loop that lags take time in which a client leaves, a deadline passes or the
+         * window for repeats closes. If not, nothing is written and the attempt never ran.
+         */
+        default boolean mayBegin() {
+            return true;
+        }
+
         /** It is over; {@code answer} is null if none came whole. */
         void ended(Outcome outcome, Answer answer);
 
