Virtual time learns the rare moments: clients that go, lists that fall silent, answers with no end

Oracle: of a loop that is behind 0.1 s from the client's close on is allowed, where all was excused before; without lag the 21 ms stay, which is stricter than the operators' 0.1 s. A client that leaves with a large body counts as gone too. A served body is one that an upstream made whole, byte for byte. What comes behind the shutdown of a connection's output is not sent on. Peers: sixteen kinds of rare moments, drawn from a stream of their own in every other scenario, so that the usual faults of a seed stay; Plan.usual has those alone. A process that was told to stop before there was a successor is not one that hands over.

--- a/src/main/java/yewyoke/faults/Client.java
+++ b/src/main/java/yewyoke/faults/Client.java
@@ -80,6 +80,11 @@
         // Registered from the first byte: large ones run while their last bytes are on the way.
         whenSent = () -> {
             world.trace("client asked " + next.id());
+            if (world.hasty > 0 && random.nextDouble() < world.hasty) {
+                Oracle.Seen mine = open;
+                world.timeline.in(random.nextInt(3) * 500L, () -> leave(mine));
+                return;
+            }
             if (random.nextDouble() < world.leaving) {
                 Oracle.Seen mine = open;
                 world.timeline.in(random.nextLong(400_000), () -> leave(mine));
@@ -99,11 +104,7 @@
     private void leave(Oracle.Seen mine) {
         if (open == mine && mine != null && !mine.over && !end.isClosed()) {
             world.trace("client leaves " + mine.id);
-            if (last.length() > 64 * 1024) {
-                world.oracle.excused(mine); // of one whose body is held up nothing is read, not even its end
-            } else {
-                world.oracle.left(mine);
-            }
+            world.oracle.left(mine);
             end.close();
         }
     }
--- a/src/main/java/yewyoke/faults/End.java
+++ b/src/main/java/yewyoke/faults/End.java
@@ -42,6 +42,8 @@
     private long lastArrival;
     private boolean blocked;
     private boolean answerWithReset;
+    private boolean heardAfterItsEnd;
+    private Runnable whenOtherEnds = () -> { };
 
     End(VirtualNetwork network, Host host) {
         this.network = network;
@@ -105,10 +107,21 @@
         }
     }
 
+    /** Whether anything has come in since this end said that it says no more. */
+    boolean heardAfterItsEnd() {
+        return heardAfterItsEnd;
+    }
+
+    /** Runs that in the moment in which the other end ends or closes, long before word of it is here. */
+    void whenOtherEnds(Runnable what) {
+        whenOtherEnds = what;
+    }
+
     /** Says no more; the other end may go on. */
     void shutdownOutput() {
         if (!closed && !sentAll) {
             sentAll = true;
+            other.whenOtherEnds.run();
             arrive(() -> other.heardEnd());
         }
     }
@@ -125,6 +138,7 @@
     }
 
     private void received(byte[] piece) {
+        heardAfterItsEnd |= sentAll;
         ready.add(piece);
         unread += piece.length;
         if (owner != null) {
--- a/src/main/java/yewyoke/faults/Fault.java
+++ b/src/main/java/yewyoke/faults/Fault.java
@@ -53,12 +53,42 @@
          * The process gets less processor time than it needs: each turn of its loop takes up to
          * {@link #LONGEST_TURN_MS} times the size. Drawn apart, so that seeds keep their other faults.
          */
-        STARVED(0);
+        STARVED(0),
 
+        // Rare moments, drawn apart as well.
+        /** Answers with neither length nor chunks, which end with their connection. */ UNFRAMED(0, 3),
+        /** The same, and a reset comes on the way, at the latest behind the last byte. */ UNFRAMED_RESET(0, 4),
+        /** Half a line, noise or an answer that nobody asked for, from a connection that rests. */ NOISE(0, 3),
+        /** Connections that rest are closed, also in the moment in which a request goes out. */ IDLE_CLOSE(0, 3),
+        /** Connections to an upstream come up late, by up to 1.5 s. */ LATE_DIAL(0, 4),
+        /** Clients send a request and close at once. */ HASTY(0, 3),
+        /** Clients rest until the balancer ends them, and send in that very moment. */ RESTERS(0, 3),
+        /** Idle clients fill all descriptors while discovery is down. */ IDLERS(0, 2),
+        /** SIGTERM; the next process is started when the time is over. */ TERM(0, 3),
+        /** Watches fall silent: those that are open, and those that are opened meanwhile. */ WATCH_SILENT(0, 3),
+        /** Watches are reset in the moment before something changes. */ WATCH_RESET(0, 2),
+        /** Discovery takes calls and answers nothing. */ DISCOVERY_MUTE(0, 2),
+        /** Discovery does not accept: connections never come up. */ DISCOVERY_FULL(0, 2),
+        /** Discovery answers 503. */ DISCOVERY_BUSY(0, 2),
+        /** Discovery's answers are lines that never end. */ DISCOVERY_ENDLESS(0, 2),
+        /** SIGHUP with another address of discovery, which has versions of its own. */ MOVE(0, 3);
+
+        /** How often it is drawn among the usual kinds, and among the rare moments. */
         final int weight;
+        final int rare;
 
         Kind(int weight) {
+            this(weight, 0);
+        }
+
+        Kind(int weight, int rare) {
             this.weight = weight;
+            this.rare = rare;
+        }
+
+        /** Whether it concerns what discovery tells, or when. */
+        boolean ofLists() {
+            return ordinal() >= IDLERS.ordinal() && this != TERM;
         }
     }
 }
--- a/src/main/java/yewyoke/faults/Host.java
+++ b/src/main/java/yewyoke/faults/Host.java
@@ -7,6 +7,8 @@
     boolean silent;
     /** Cut off in one direction: what it sends arrives nowhere. */
     boolean mute;
+    /** Connections to it come up so many microseconds late. */
+    long lateDial;
 
     Host(String name) {
         this.name = name;
--- a/src/main/java/yewyoke/faults/Oracle.java
+++ b/src/main/java/yewyoke/faults/Oracle.java
@@ -21,6 +21,8 @@
 
     /** Of a process short of processor time an answer may be late by so much, and is lost beyond. */
     private static final long LATEST_ANSWER = 500_000;
+    /** After a client has gone no attempt begins more than so much later, whatever the loop does. */
+    private static final long GONE = 100_000;
 
     /** A class of requests as the checker knows it. */
     enum Effect { SAFE, KEYED, UNSAFE }
@@ -41,6 +43,10 @@
         /** Its client takes its answer as it comes. */
         boolean prompt = true;
         final List<Run> runs = new ArrayList<>();
+        /** What its upstreams made for it whole. */
+        final List<String> made = new ArrayList<>();
+        /** The connection that it came on; null for none that is known. */
+        End connection;
 
         Seen(String id, Effect effect, int maxAttempts) {
             this.id = id;
@@ -90,6 +96,7 @@
     Seen asked(String id, Effect effect, long timeLeft, int maxAttempts, End connection) {
         long asked = timeline.micros();
         Seen seen = new Seen(id, effect, maxAttempts);
+        seen.connection = connection;
         requests.put(id, seen);
         long patience = timeLeft + ANSWER_SLACK + SLACK + 2 * delay;
         timeline.in(patience + 1, () -> {
@@ -161,6 +168,9 @@
             broken("1", seen.id + " was served what was not made for it: "
                     + body.substring(0, Math.min(60, body.length())));
         }
+        if (status == 200 && !seen.made.contains(body)) {
+            broken("1", seen.id + " was served " + body.length() + " bytes that no upstream made whole");
+        }
         if (status == 200 && seen.runs.isEmpty()) {
             broken("1", seen.id + " was served and never reached an upstream");
         }
@@ -208,10 +218,15 @@
                         + " ms after its first attempt");
             }
         }
-        if (seen.leftAt >= 0 && !isBehind() && begunAt > seen.leftAt + 2 * delay + ANSWER_SLACK) {
+        // A loop that is behind hears of it late, and has the whole of what the operators allow.
+        long known = isBehind() ? GONE : ANSWER_SLACK;
+        if (seen.leftAt >= 0 && begunAt > seen.leftAt + 2 * delay + known) {
             broken("1", upstream + " got " + seen.id + " " + (begunAt - seen.leftAt) / 1_000
                     + " ms after its client had left");
         }
+        if (seen.connection != null && seen.connection.other().heardAfterItsEnd()) {
+            broken("1", upstream + " got " + seen.id + ", which came after its connection's output was shut");
+        }
         seen.runs.add(run);
         if (seen.runs.size() > seen.maxAttempts) {
             broken("2", seen.id + " got " + seen.runs.size() + " attempts");
@@ -219,6 +234,14 @@
         return run;
     }
 
+    /** An upstream has made that answer and sent all of it; unless it says how it ended, nobody knows. */
+    void made(String id, String body) {
+        Seen seen = requests.get(id);
+        if (seen != null) {
+            seen.made.add(body);
+        }
+    }
+
     // ---- Discovery -----------------------------------------------------------------------------------
 
     /** Discovery has written that an upstream drains or is gone. */
@@ -231,6 +254,11 @@
         closedAt.replaceAll((id, at) -> at + LATEST_WORD);
     }
 
+    /** What was told is not known to a process that starts while discovery can't be reached. */
+    void nothingTold() {
+        closedAt.clear();
+    }
+
     void toldReady(String upstream) {
         closedAt.remove(upstream);
     }
--- a/src/main/java/yewyoke/faults/Pipeliner.java
+++ b/src/main/java/yewyoke/faults/Pipeliner.java
@@ -48,6 +48,9 @@
             end.send(next.bytes());
             world.trace("client asked " + next.id() + " behind " + i + " others");
         }
+        if (world.hasty > 0 && random.nextDouble() < world.hasty) {
+            world.timeline.in(random.nextInt(4) * 50_000L, this::leave);
+        }
     }
 
     @Override public void readable() {
@@ -75,6 +78,15 @@
         }
     }
 
+    private void leave() {
+        if (!end.isClosed() && !open.isEmpty()) {
+            world.trace("client leaves " + open.size() + " requests");
+            open.forEach(world.oracle::left);
+            open.clear();
+            end.close();
+        }
+    }
+
     private void excuseAll() {
         open.forEach(world.oracle::excused);
         open.clear();
--- a/src/main/java/yewyoke/faults/Plan.java
+++ b/src/main/java/yewyoke/faults/Plan.java
@@ -23,8 +23,17 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     /** One scenario in so many has a process that is short of processor time, about as often as others. */
     private static final int STARVED_IN = 8;
+    /** So long clients ask where lists are in trouble: a drain told 6 s late, and 2 s of grace, show there. */
+    private static final long LISTS_LENGTH_MS = 14_000;
+    private static final double LISTS_RATE = 20;
 
+    /** The usual faults, and in every other scenario some of the rare moments. */
     static Plan drawn(long seed) {
+        return usual(seed).withRareMoments(new Streams(seed).of("rare"));
+    }
+
+    /** A seed's scenario without rare moments, as it was before there were any. */
+    static Plan usual(long seed) {
         UniformRandomProvider random = new Streams(seed).of("plan");
         int upstreams = 2 + random.nextInt(5);
         double rate = 10 + random.nextInt(40);
@@ -54,6 +63,47 @@
         return new Plan(seed, upstreams, rate, length, cuts, faults);
     }
 
+    private Plan withRareMoments(UniformRandomProvider random) {
+        if (random.nextBoolean()) {
+            return this;
+        }
+        List<Fault> more = new ArrayList<>(faults);
+        int count = 1 + random.nextInt(3);
+        boolean lists = false;
+        for (int i = 0; i < count; i++) {
+            Fault.Kind kind = rareMoment(random);
+            Fault f = new Fault(kind, 500 + random.nextInt((int) lengthMs), 100 + random.nextInt(3_000),
+                    random.nextInt(upstreams), 0.1 + 0.9 * random.nextDouble());
+            more.add(f);
+            if (kind.ofLists()) {
+                lists = true;
+                // What changes meanwhile, and stays long enough for all to show that they know.
+                more.add(new Fault(Fault.Kind.DRAIN, Math.max(0, f.atMs() - 200) + random.nextInt(
+                        (int) f.lenMs() + 400), 3_000, random.nextInt(upstreams), 1));
+            }
+        }
+        more.sort(Comparator.comparingLong(Fault::atMs));
+        return lists ? new Plan(seed, upstreams, Math.min(rate, LISTS_RATE), LISTS_LENGTH_MS, cuts, more)
+                : new Plan(seed, upstreams, rate, lengthMs, cuts, more);
+    }
+
+    private static Fault.Kind rareMoment(UniformRandomProvider random) {
+        int weights = 0;
+        for (Fault.Kind k : Fault.Kind.values()) {
+            weights += k.rare;
+        }
+        int at = random.nextInt(weights);
+        int kind = 0;
+        while (at >= Fault.Kind.values()[kind].rare) {
+            at -= Fault.Kind.values()[kind++].rare;
+        }
+        return Fault.Kind.values()[kind];
+    }
+
+    boolean has(Fault.Kind kind) {
+        return faults.stream().anyMatch(f -> f.kind() == kind);
+    }
+
     Plan without(int index) {
         List<Fault> fewer = new ArrayList<>(faults);
         fewer.remove(index);
--- a/src/main/java/yewyoke/faults/Process.java
+++ b/src/main/java/yewyoke/faults/Process.java
@@ -27,11 +27,15 @@
     private Runnable onListening;
     private boolean dead;
     private long stopAt;
+    private boolean stoppedAlone;
 
     Process(World world, int number, long seed) {
         this.world = world;
         this.host = new Host("balancer" + number);
         this.transport = new VirtualTransport(world.timeline, world.network, host, seed);
+        if (world.descriptors > 0) {
+            transport.descriptors(world.descriptors);
+        }
     }
 
     void start() throws BadInput, IOException {
@@ -98,12 +102,17 @@
         return stopped == null ? -1 : world.timeline.micros() - stopAt;
     }
 
+    /** Whether nobody was there to take over when it was told to stop. */
+    boolean stoppedAlone() {
+        return stoppedAlone;
+    }
+
     boolean isStopping() {
         return stopped != null;
     }
 
     void reload() {
-        if (!dead) {
+        if (lives()) {
             transport.loop().execute(node::reload);
         }
     }
@@ -112,6 +121,7 @@
         if (!dead && stopped == null) {
             world.trace(host + " is told to stop");
             stopAt = world.timeline.micros();
+            stoppedAlone = !world.hasTwin(this);
             stopped = node.stop();
             stopped.addListener(f -> {
                 world.trace(host + " has stopped");
--- a/src/main/java/yewyoke/faults/Upstream.java
+++ b/src/main/java/yewyoke/faults/Upstream.java
@@ -11,6 +11,10 @@
 /** A scripted upstream: serves, and fails in the ways that are switched on at the time. */
 final class Upstream implements VirtualNetwork.Listener {
     private static final long SERVICE = 30_000;
+    /** What comes from a connection that rests: nothing that could be taken for the answer to a request. */
+    private static final String[] NOISE = {"HTT", "HTTP/1.1 200 OK\r\nContent-Le", "\r\n", "\u0000\u0001\r\n\r\n",
+        "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"};
+    private static final int LONGEST_REST = 300_000;
 
     final int index;
     final int zone;
@@ -96,6 +100,8 @@
         private final int mine = life;
         private long begunAt = -1;
         private boolean gone;
+        /** Requests that have begun and are not answered. */
+        private int open;
 
         Connection(End end) {
             this.end = end;
@@ -108,6 +114,7 @@
             }
             if (begunAt < 0 && bytes.length > 0) {
                 begunAt = world.timeline.micros();
+                open++;
                 world.oracle.begins(id);
             }
             for (Message request : reader.add(bytes)) {
@@ -122,6 +129,9 @@
             Oracle.Run run = world.oracle.ran(name, id, begunAt);
             if (script != null) {
                 Reply r = script.to(name);
+                if (r.text().startsWith("HTTP/1.1 200")) {
+                    world.oracle.made(name, r.text().substring(r.text().indexOf("\r\n\r\n") + 4));
+                }
                 reply(r.text(), r.after());
             } else if (strikes(Fault.Kind.FULL) || draining && random.nextDouble() < 0.5) {
                 run.never = true;
@@ -144,6 +154,16 @@
                     : "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n"
                     + body + "\r\n0\r\n\r\n";
             String answer = "HTTP/1.1 200 OK\r\n" + load + framed;
+            if (strikes(Fault.Kind.UNFRAMED)) {
+                world.oracle.made(request, body.toString());
+                ends = end::close;
+                reply(unframed(load, body), after);
+                return;
+            }
+            if (strikes(Fault.Kind.UNFRAMED_RESET)) {
+                resetOnTheWay(unframed(load, body), after);
+                return;
+            }
             if (strikes(Fault.Kind.ERRORS)) {
                 reply("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", after);
             } else if (strikes(Fault.Kind.SPOILT)) {
@@ -152,13 +172,64 @@
                 reply(answer.substring(0, 1 + random.nextInt(answer.length() - 1)), after);
                 world.timeline.in(after + 1_000, end::breakOff);
             } else if (strikes(Fault.Kind.TWICE)) {
+                world.oracle.made(request, body.toString());
                 reply(answer + answer, after);
             } else {
+                world.oracle.made(request, body.toString());
                 reply((strikes(Fault.Kind.INTERIM) ? "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" : "")
                         + answer, after);
             }
         }
 
+        /** Neither length nor chunks: its end is that of the connection, whether or not it says so. */
+        private String unframed(String load, StringBuilder body) {
+            return "HTTP/1.1 200 OK\r\n" + load + (random.nextBoolean() ? "Connection: close\r\n" : "")
+                    + "\r\n" + body;
+        }
+
+        /** Anywhere behind the head, and in one of three times behind all of it: the reset is no end. */
+        private void resetOnTheWay(String answer, long after) {
+            int head = answer.indexOf("\r\n\r\n") + 4;
+            int length = random.nextInt(3) == 0 ? answer.length()
+                    : head + random.nextInt(answer.length() - head);
+            long pause = random.nextInt(3) * (long) random.nextInt(20_000);
+            ends = () -> world.timeline.in(pause, end::breakOff);
+            reply(answer.substring(0, length), after);
+        }
+
+        /** All is answered: from now on the connection rests. */
+        private void rests() {
+            open = 0;
+            if (ends != null) {
+                ends.run();
+                ends = null;
+                return;
+            }
+            if (strikes(Fault.Kind.NOISE)) {
+                String noise = NOISE[random.nextInt(NOISE.length)];
+                boolean closes = random.nextBoolean();
+                whileResting(() -> {
+                    end.send(noise.getBytes(StandardCharsets.ISO_8859_1));
+                    if (closes) {
+                        end.close();
+                    }
+                });
+            }
+            if (strikes(Fault.Kind.IDLE_CLOSE)) {
+                whileResting(end::close);
+            }
+        }
+
+        private void whileResting(Runnable what) {
+            world.timeline.in(random.nextInt(LONGEST_REST), () -> {
+                if (mine == life && !gone && !end.isClosed() && open == 0) {
+                    what.run();
+                }
+            });
+        }
+
+        /** How the connection ends behind the answer under way; null if it goes on. */
+        private Runnable ends;
         private final List<byte[]> unsent = new ArrayList<>();
 
         private void reply(String text, long after) {
@@ -181,6 +252,8 @@
                 unsent.remove(0);
                 if (room < bytes.length) {
                     unsent.add(0, java.util.Arrays.copyOfRange(bytes, room, bytes.length));
+                } else if (unsent.isEmpty()) {
+                    rests();
                 }
             }
         }
--- a/src/main/java/yewyoke/faults/VirtualNetwork.java
+++ b/src/main/java/yewyoke/faults/VirtualNetwork.java
@@ -111,7 +111,7 @@
             open.add(near);
             open.add(far);
             b.listener.accept(far);
-            in(delay(b.host, from), () -> {
+            in(b.host.lateDial + delay(b.host, from), () -> {
                 if (!near.isClosed()) {
                     result.up(near);
                 }
--- a/src/main/java/yewyoke/faults/VirtualTransport.java
+++ b/src/main/java/yewyoke/faults/VirtualTransport.java
@@ -56,6 +56,11 @@
         mostOpen = left < 0 ? Integer.MAX_VALUE : open + left;
     }
 
+    /** At most so many connections are open at a time, from the start. */
+    void descriptors(int most) {
+        mostOpen = most;
+    }
+
     boolean hasDescriptor() {
         return open < mostOpen;
     }
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -23,6 +23,10 @@
     private static final long GRACE = 2_000_000;
     private static final long MOST_DELAY = 600;
     private static final int ATTEMPTS = 3;
+    private static final int SOCKETS = 512;
+    /** More than a process has descriptors. */
+    private static final int IDLERS = SOCKETS + 100;
+    private static final long LONGEST_DIAL = 1_500_000;
     /** After these an attempt that was written whole has reached its upstream whole. */
     private static final Set<Fault.Kind> LOSSLESS = EnumSet.of(Fault.Kind.ERRORS, Fault.Kind.FULL,
             Fault.Kind.SPOILT, Fault.Kind.TWICE, Fault.Kind.INTERIM, Fault.Kind.RELOAD, Fault.Kind.RELOAD_BAD,
@@ -47,11 +51,15 @@
     double leaving;
     double slowReaders;
     double repeating;
+    double hasty;
+    /** How many connections a process may have at a time; 0 for any. */
+    int descriptors;
     private final Plan plan;
     private final Streams streams;
     private final StringBuilder trace = new StringBuilder();
     private final List<Process> processes = new ArrayList<>();
     private String config;
+    private int attempts = ATTEMPTS;
     private boolean stopping;
     private boolean killed;
     private double burst = 1;
@@ -68,6 +76,7 @@
         streams = new Streams(plan.seed());
         network = new VirtualNetwork(timeline, streams.of("network"));
         network.quality(200, 300, plan.cuts());
+        descriptors = plan.has(Fault.Kind.IDLERS) ? SOCKETS : 0;
         oracle = new Oracle(timeline, WINDOW, GRACE, MOST_DELAY);
         discovery = new Discovery(this);
         for (int i = 0; i < plan.upstreams(); i++) {
@@ -147,14 +156,14 @@
         }
         return "{\"listen\":\"" + text(LISTEN) + "\",\"discovery\":\"" + text(discovery.address)
                 + "\",\"seed\":\"" + Long.toHexString(plan.seed() & 0xFFFF)
-                + "\",\"limits\":{\"sockets\":512},\"known\":{\"version\":0,\"full\":true,\"servers\":["
+                + "\",\"limits\":{\"sockets\":" + SOCKETS + "},\"known\":{\"version\":0,\"full\":true,\"servers\":["
                 + (known == null ? listed : known) + "]},\"settings\":{\"az\":0,"
                 + "\"localities\":[\"z0\",\"z1\"],\"kinds\":[\"k\"],\"group-size\":1,\"classes\":["
                 + cls("lookup", "free", "0.5") + "," + cls("push", "guarded", "0.5") + ","
                 + cls("once", "single_shot", "0.5") + "],\"parties\":[{\"name\":\"acme\",\"share\":1}],"
                 + "\"ceilings\":{\"try-limit\":" + attempts + ",\"cancel\":true,\"may-duplicate\":true,"
                 + "\"probes\":false,\"max-open\":200,\"retry-after\":true,\"max-retry-after-s\":2,"
-                + "\"connect-timeout-s\":0.25,\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,"
+                + "\"connect-timeout-s\":" + (plan.has(Fault.Kind.LATE_DIAL) ? "2" : "0.25") + ",\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,"
                 + "\"ask-within-s\":10,\"drain-grace-s\":2,\"cold-s\":3,\"start-capacity\":0.3,"
                 + "\"fall-multiple\":3,\"fall-s\":3},\"report\":{\"names\":[\"cpu\"],\"via\":\"piggyback\"},"
                 + "\"prices\":{},\"tick-s\":0.001,\"discovery\":\"pushed\"}}";
@@ -192,7 +201,8 @@
 
     /** Whether that process was told to stop a while ago, and another one is there for its clients. */
     boolean hasHandedOver(Host host) {
-        return processes.stream().anyMatch(p -> p.is(host) && p.stoppingFor() > 100_000 && hasTwin(p));
+        return processes.stream().anyMatch(p -> p.is(host) && p.stoppingFor() > 100_000 && !p.stoppedAlone()
+                && hasTwin(p));
     }
 
     private Process current() {
@@ -247,7 +257,18 @@
                 u.queueFull = true;
                 timeline.in(len, () -> u.queueFull = false);
             }
-            case LEAVERS, RUDE, BURST, PIPELINERS, SLOW_READERS, REPEATERS -> strikeClients(f, len);
+            case UNFRAMED, UNFRAMED_RESET, NOISE, IDLE_CLOSE -> {
+                u.trouble(f.kind(), f.size());
+                timeline.in(len, () -> u.trouble(f.kind(), 0));
+            }
+            case LATE_DIAL -> {
+                u.host.lateDial = (long) (f.size() * LONGEST_DIAL);
+                timeline.in(len, () -> u.host.lateDial = 0);
+            }
+            case WATCH_SILENT, WATCH_RESET, DISCOVERY_MUTE, DISCOVERY_FULL, DISCOVERY_BUSY, DISCOVERY_ENDLESS ->
+                    discovery.strike(f);
+            case LEAVERS, RUDE, BURST, PIPELINERS, SLOW_READERS, REPEATERS, HASTY, RESTERS, IDLERS ->
+                    strikeClients(f, len);
             default -> strikeProcess(f, len);
         }
     }
@@ -255,7 +276,8 @@
     private void strikeProcess(Fault f, long len) {
         switch (f.kind()) {
             case RELOAD -> {
-                config = config(1 + (int) (f.size() * 2));
+                attempts = 1 + (int) (f.size() * 2);
+                config = config(attempts);
                 current().reload();
             }
             case RELOAD_BAD -> {
@@ -266,11 +288,19 @@
             }
             case KILL -> {
                 killed = true;
-                oracle.forgotten();
                 current().kill();
-                timeline.in(len, this::start);
+                timeline.in(len, this::startAnew);
             }
             case HAND_OVER -> handOver();
+            case TERM -> {
+                current().stop();
+                timeline.in(len, this::startIfNoneServes);
+            }
+            case MOVE -> {
+                discovery.move();
+                config = config(attempts);
+                current().reload();
+            }
             case STARVED -> starveOfTime(f.size(), len);
             case CLOCK_STEP -> current().transport.stepWallClock((long) ((f.size() - 0.5) * 10_000));
             case QUEUE_FULL -> {
@@ -337,6 +367,23 @@
                 repeating = f.size();
                 timeline.in(len, () -> repeating = 0);
             }
+            case HASTY -> {
+                hasty = f.size();
+                timeline.in(len, () -> hasty = 0);
+            }
+            case RESTERS -> {
+                UniformRandomProvider random = streams.of("resters/" + f.atMs());
+                for (int i = 0; i < 1 + (int) (f.size() * 20); i++) {
+                    timeline.in(random.nextLong(len), () -> new Rester(this, random).connect());
+                }
+            }
+            case IDLERS -> {
+                discovery.down(true);
+                timeline.in(len, () -> discovery.down(false));
+                for (int i = 0; i < IDLERS; i++) {
+                    timeline.in(i * 200L, () -> network.connect(clients, LISTEN, new Idler()));
+                }
+            }
             default -> throw new IllegalStateException("no fault of clients: " + f.kind());
         }
     }
@@ -377,6 +424,17 @@
         });
     }
 
+    private void startIfNoneServes() {
+        if (!current().lives() || current().isStopping()) {
+            startAnew();
+        }
+    }
+
+    private void startAnew() {
+        discovery.newcomer();
+        start();
+    }
+
     private void handOver() {
         Process old = current();
         if (!old.lives() || old.isStopping()) {
