Upstreams: an answer with no length ends with a FIN, never with a reset

Cause: a channel becomes inactive alike after a FIN, a reset, a failed write and a close of our own, and HttpObjectDecoder.decodeLast makes a last content of each for an answer with neither length nor chunks. Connection.body took that as its end wherever the answer said Connection: close, and as spoilt wherever it did not, though RFC 9112, 6.3 ends such an answer with its connection in both cases.

Ruled out: noting exceptionCaught before the end (a write that fails closes the channel with no such call); ALLOW_HALF_CLOSURE (its event comes after a reset, too, and it costs a further system call).

Now the channel itself says it: EndOfStream, set where a read returns -1. A reset makes that read throw, and after a failed write or our own close there is no further read. The virtual channel of the fault runs tells the same.

--- a/src/main/java/yewyoke/faults/VirtualChannel.java
+++ b/src/main/java/yewyoke/faults/VirtualChannel.java
@@ -20,9 +20,10 @@
 import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import yewyoke.transport.EndOfStream;
 
 /** A connection of the balancer over the virtual network, for Netty. */
-final class VirtualChannel extends AbstractChannel implements DuplexChannel, End.Owner {
+final class VirtualChannel extends AbstractChannel implements DuplexChannel, EndOfStream, End.Owner {
     private static final ChannelMetadata METADATA = new ChannelMetadata(false);
     private static final int READ = 16 * 1024;
 
@@ -34,6 +35,7 @@
     private boolean readPending;
     private boolean delivering;
     private boolean outputShut;
+    private boolean streamEnded;
 
     VirtualChannel(VirtualTransport transport, Channel parent, End end) {
         super(parent);
@@ -114,6 +116,7 @@
             pipeline().fireChannelRead(buffer);
             pipeline().fireChannelReadComplete();
         } else if (end.isFinished()) {
+            streamEnded = true;
             unsafe().close(voidPromise());
         }
     }
@@ -246,6 +249,10 @@
         return METADATA;
     }
 
+    @Override public boolean hasEnded() {
+        return streamEnded;
+    }
+
     // ---- Half closing --------------------------------------------------------------------------------
 
     @Override public boolean isInputShutdown() {
--- a/src/main/java/yewyoke/http1/upstream/Upstreams.java
+++ b/src/main/java/yewyoke/http1/upstream/Upstreams.java
@@ -45,6 +45,7 @@
 import yewyoke.exchange.Field;
 import yewyoke.exchange.Head;
 import yewyoke.exchange.ServerList;
+import yewyoke.transport.EndOfStream;
 import yewyoke.transport.Transport;
 
 /**
@@ -397,7 +398,7 @@
             cameAt = transport.nanoTime();
             boolean last = content instanceof LastHttpContent;
             if (came > Body.MOST || last && !channel.isActive() && !endsWithItsConnection()) {
-                // More than anything can be, or cut short: only if it was told can the end be told from that.
+                // More than anything can be, or cut short.
                 spoilt();
                 return;
             }
@@ -419,9 +420,13 @@
             }
         }
 
+        /**
+         * With neither a length nor chunks an answer ends with its connection, whatever that connection was to
+         * be kept for (RFC 9112, 6.3), and only a FIN is such an end.
+         */
         private boolean endsWithItsConnection() {
-            return !HttpUtil.isKeepAlive(head) && !HttpUtil.isContentLengthSet(head)
-                    && !HttpUtil.isTransferEncodingChunked(head);
+            return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)
+                    && EndOfStream.of(channel);
         }
 
         private void hold(ByteBuf bytes) {
--- a/src/main/java/yewyoke/transport/SocketTransport.java
+++ b/src/main/java/yewyoke/transport/SocketTransport.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.StandardSocketOptions;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.random.RandomGenerator;
@@ -37,7 +36,7 @@
     }
 
     @Override public Channel outgoing() {
-        NioSocketChannel channel = new NioSocketChannel();
+        OutgoingSocket channel = new OutgoingSocket();
         channel.config().setTcpNoDelay(true);
         return channel;
     }
