Attempts: a last look at client, deadline and window right before the first byte

Seen by reading and by tests on stubs of both sides: Driver.gone ended attempts only of requests that stream or are still coming, so one whose connection was being dialled was left to be written when the dial came up, however long ago its client had left. Nothing asked at that moment whether the deadline or the window for repeats was over; the module had looked when it decided. What was called off so was told as CANCELLED (may have run, counts as a slow answer of the upstream), and the cold budget was never given back.

Now Open.mayBegin, asked through Back.Listener.mayBegin, holds the attempt against LastLook: deadline and window with the module's margin (one place: Settings.margin), no second copy where none is allowed, with the settings of the request's arrival. An attempt of a client that leaves before its first byte is ended at once whatever `cancel` says, and the module hears MOOT: it counts for nothing against the upstream, and the cold budget is given back. A request that is read with no time left is refused unsent. The life of an attempt is the class Try with named states.

--- a/src/main/java/yewyoke/Balancer.java
+++ b/src/main/java/yewyoke/Balancer.java
@@ -229,6 +229,11 @@
                     RuleFigures rules,
             Prices prices, Reports reports, Ratings ratings, boolean askForList, boolean warmKeys,
                     long tick) {
+        /** How long before a limit in time it counts as reached, since timers are coarse: three ticks. */
+        public long margin() {
+            return 3 * Math.max(tick, 1_000);
+        }
+
         /** The same for a balancer with no others beside it. */
         public Settings alone() {
             return new Settings(zone, zones, 0, 1, classes, tenants, overShareWorth, worthByWork, limits,
--- a/src/main/java/yewyoke/decide/ColdBudgets.java
+++ b/src/main/java/yewyoke/decide/ColdBudgets.java
@@ -49,6 +49,9 @@
 
     static void spend(Books b, Host up, OpenRequest r) { up.cold.bucket.spend(charge(b, r)); }
 
+    /** For one that was never sent. */
+    static void giveBack(Books b, Host up, OpenRequest r) { up.cold.bucket.spend(-charge(b, r)); }
+
     /** At least a mean request: those with hints small enough for the bucket are dearer than they say. */
     private static double charge(Books b, OpenRequest r) { return Math.max(r.cost, b.traffic.meanCost()); }
 
--- a/src/main/java/yewyoke/decide/Outcomes.java
+++ b/src/main/java/yewyoke/decide/Outcomes.java
@@ -25,6 +25,8 @@
             rejected(b, r, t, now);
         } else if (end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET) {
             Health.erred(up, now);
+        } else if (end.outcome() == Outcome.MOOT) {
+            ColdBudgets.giveBack(b, up, r);
         }
         InFlightLimits.restIfCrowded(b, up, now);
     }
--- a/src/main/java/yewyoke/decide/Terms.java
+++ b/src/main/java/yewyoke/decide/Terms.java
@@ -16,14 +16,13 @@
     private static final double WAIT_SHARE = 0.1; // waiting aimed at under our own limit, of the aim
     private static final double WAIT_MORE = 0.2; // added with FEW balancers: the line is ours
     private static final double NEWS_POINTS = 0.02; // points of the result that in-flight news may cost
-    private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
 
     /** Bad settings are refused with the field's name, and the old ones stay. */
     static void take(Books b, Settings next) {
         SettingsCheck.check(next);
         TermsState t = b.terms;
         t.settings = next;
-        t.margin = MARGIN_TICKS * Math.max(next.tick(), 1_000);
+        t.margin = next.margin();
         t.waitShare = WAIT_SHARE + WAIT_MORE * Math.min(1, FEW / next.groupSize());
         t.waitTarget = (long) (t.waitShare * tightest(next));
         boolean others = next.groupSize() > 1;
--- a/src/main/java/yewyoke/exchange/Driver.java
+++ b/src/main/java/yewyoke/exchange/Driver.java
@@ -11,14 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer;
 import yewyoke.Balancer.AttemptEnd;
-import yewyoke.Balancer.Limits;
 import yewyoke.Balancer.ListKind;
 import yewyoke.Balancer.LoadReport;
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.Request;
 import yewyoke.exchange.Back.Answer;
 import yewyoke.exchange.Figures.Ending;
-import yewyoke.exchange.Open.Try;
 import yewyoke.settings.SettingsReader;
 import yewyoke.transport.Transport;
 
@@ -44,7 +42,6 @@
     private final EventLoop loop;
     private final Transport transport;
     private SettingsReader.Found facts;
-    private Limits limits;
     private final String host;
     private final Back upstreams;
     private final LoadReports reports = new LoadReports();
@@ -74,7 +71,6 @@
         this.origin = transport.nanoTime();
         this.lateness = new Lateness(transport::nanoTime);
         this.facts = facts;
-        this.limits = facts.settings().limits();
         this.host = host;
         this.upstreams = upstreams;
         this.figures = figures;
@@ -103,7 +99,6 @@
     /** New settings, already found good: for the module one event, for requests to come one whole. */
     public void settings(SettingsReader.Found next) {
         facts = next;
-        limits = next.settings().limits();
         next.classes().forEach(figures::show);
         event(() -> balancer.settings(now(), next.settings()));
     }
@@ -208,8 +203,10 @@
     private void open(Request request, Head head, Body body, Client client) {
         String className = facts.classes().get(request.classIndex());
         long left = request.timeLeft() + (body.isEnded() ? 0 : LONGEST_BODY_MS * 1_000);
-        Open o = new Open(request, className, limits, head, body, client, now() + left);
-        if (limits.maxOpen() > 0 && open.size() >= limits.maxOpen()) {
+        Open o = new Open(request, className, facts.settings(), head, body, client, now() + left);
+        int most = o.limits.maxOpen();
+        boolean over = left <= 0; // read too late: nobody waits for an answer any more
+        if (over || most > 0 && open.size() >= most) {
             body.release();
             count(o, Ending.DROPPED);
             client.refused(0);
@@ -266,10 +263,13 @@
         Open o = open.get(id);
         if (o != null && !o.concluded) {
             conclude(o, null);
-            if (o.streaming || !o.body.isEnded()) {
-                endAll(o, Outcome.CANCELLED); // the module may let attempts run, but these can't
+            event(() -> balancer.clientGone(now(), id)); // first, or it would take the request for ended
+            boolean cutShort = o.streaming || !o.body.isEnded();
+            for (int i = 0; i < o.attempts.size(); i++) {
+                if (cutShort || o.attempts.get(i).isUnsent()) {
+                    giveUp(o, i, Outcome.CANCELLED); // the module may let attempts run, but these can't
+                }
             }
-            event(() -> balancer.clientGone(now(), id));
         }
     }
 
@@ -336,7 +336,7 @@
             int attempt = o == null ? 0 : o.attempts.size();
             if (o != null) {
                 Try never = new Try(upstream, now);
-                never.ended = true;
+                never.end(Outcome.MOOT);
                 o.attempts.add(never);
             }
             event(() -> balancer.outcome(now(), new AttemptEnd(id, attempt, upstream, Outcome.MOOT, 0,
@@ -349,17 +349,21 @@
         long left = timeout == 0 ? o.deadline - now : Math.max(0, Math.min(timeout, o.deadline - now));
         long told = Math.min(left, o.request.timeLeft()) / 1_000;
         attempt.attempt = upstreams.start(upstream, o.head.within(told), o.body, new Back.Listener() {
+            @Override public boolean mayBegin() {
+                return attempt.begin(o.mayBegin(attempt, now()));
+            }
+
             @Override public void ended(Outcome outcome, Answer answer) {
                 Driver.this.ended(o, number, outcome, answer);
             }
 
             @Override public void written() {
-                attempt.writtenAt = now();
+                attempt.written(now());
                 figures.tried();
             }
 
             @Override public void began() {
-                attempt.openedAt = now();
+                attempt.opened(now());
             }
 
             @Override public Download opened(long length) {
@@ -396,18 +400,15 @@
 
     private void giveUp(Open o, int number, Outcome outcome) {
         Try attempt = o.attempts.get(number);
-        if (!attempt.ended) {
+        if (attempt.isOut()) {
             attempt.attempt.abandon();
             ended(o, number, outcome, null);
         }
     }
 
-    private void ended(Open o, int number, Outcome outcome, Answer answer) {
+    private void ended(Open o, int number, Outcome how, Answer answer) {
         Try attempt = o.attempts.get(number);
-        attempt.ended = true;
-        if (attempt.timeout != null) {
-            attempt.timeout.cancel(false);
-        }
+        Outcome outcome = attempt.end(how);
         if (attempt.streams && !o.concluded) {
             conclude(o, outcome == Outcome.OK ? Ending.PASSED : Ending.BAD_GATEWAY);
         } else if (outcome == Outcome.OK && !o.concluded) {
@@ -416,7 +417,7 @@
         }
         LoadReport load = answer == null ? null : load(answer.load());
         forgetIfDone(o);
-        long took = Math.max(0, (attempt.openedAt > 0 ? attempt.openedAt : now()) - attempt.writtenAt);
+        long took = attempt.took(now());
         event(() -> balancer.outcome(now(), new AttemptEnd(o.request.id(), number, attempt.upstream, outcome,
                 took, o.concluded, load)));
     }
--- a/src/main/java/yewyoke/exchange/Open.java
+++ b/src/main/java/yewyoke/exchange/Open.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import yewyoke.Balancer.Limits;
 import yewyoke.Balancer.Request;
+import yewyoke.Balancer.Settings;
 
 /** One request from its arrival until it is answered and all its attempts have ended. */
 final class Open {
@@ -12,6 +13,7 @@
     /** As of its arrival: new settings may have another class in its place, and other limits. */
     final String className;
     final Limits limits;
+    final LastLook lastLook;
     final Head head;
     final Body body;
     final Client client;
@@ -25,40 +27,30 @@
     /** Its client is being served by an attempt that can't be taken back. */
     boolean streaming;
 
-    Open(Request request, String className, Limits limits, Head head, Body body, Client client,
+    Open(Request request, String className, Settings settings, Head head, Body body, Client client,
             long deadline) {
         this.request = request;
         this.className = className;
-        this.limits = limits;
+        this.limits = settings.limits();
+        this.lastLook = new LastLook(settings.classes().get(request.classIndex()), limits.secondCopies(),
+                settings.margin());
         this.head = head;
         this.body = body;
         this.client = client;
         this.deadline = deadline;
     }
 
+    /** Whether an attempt may begin at this instant: somebody waits for it, and it is legal. */
+    boolean mayBegin(Try next, long now) {
+        return !concluded && !streaming && next.isUnsent() && lastLook.allows(next, attempts, deadline, now);
+    }
+
     boolean outstanding() {
         for (Try t : attempts) {
-            if (!t.ended) {
+            if (t.isOut()) {
                 return true;
             }
         }
         return false;
     }
-
-    /** One attempt; {@code attempt} is null if it never started. */
-    static final class Try {
-        final String upstream;
-        Back.Attempt attempt;
-        ScheduledFuture<?> timeout;
-        /** When it was written, and when its answer began: the time of a body is not the upstream's. */
-        long writtenAt;
-        long openedAt;
-        boolean streams;
-        boolean ended;
-
-        Try(String upstream, long sentAt) {
-            this.upstream = upstream;
-            this.writtenAt = sentAt;
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/yewyoke/exchange/Bench.java
@@ -0,0 +1,209 @@
+package yewyoke.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import yewyoke.Balancer.Effect;
+import yewyoke.Balancer.Limits;
+import yewyoke.Balancer.ListKind;
+import yewyoke.Balancer.Memory;
+import yewyoke.Balancer.Outcome;
+import yewyoke.Balancer.Prices;
+import yewyoke.Balancer.Ratings;
+import yewyoke.Balancer.Reports;
+import yewyoke.Balancer.Request;
+import yewyoke.Balancer.RequestClass;
+import yewyoke.Balancer.RuleFigures;
+import yewyoke.Balancer.Scope;
+import yewyoke.Balancer.Settings;
+import yewyoke.Balancer.State;
+import yewyoke.settings.SettingsReader.Found;
+import yewyoke.transport.Listening;
+import yewyoke.transport.Transport;
+
+/** A driver with the real module in virtual time, between stubs of both sides that do what the test says. */
+final class Bench implements Transport, Back {
+    static final long MILLI = 1_000;
+    static final long SECOND = 1_000_000;
+    private static final long EPOCH_MS = 1_700_000_000_000L;
+
+    private final EmbeddedChannel clock = new EmbeddedChannel();
+    private long nanos;
+    private int ids;
+    final List<Sent> sent = new ArrayList<>();
+    final List<Answered> clients = new ArrayList<>();
+    final Figures figures = new Figures();
+    final Driver driver;
+    private final boolean secondCopies;
+    private final boolean cancel;
+
+    Bench(boolean secondCopies, boolean cancel) {
+        this.secondCopies = secondCopies;
+        this.cancel = cancel;
+        clock.freezeTime();
+        driver = new Driver(this, new Found(settings(), List.of(), List.of("safe", "keyed", "unsafe"),
+                List.of(), List.of("z"), List.of("k")), 7, "b", 1_000, this, figures, Modules.BALANCE);
+        driver.start(new Directory() {
+            @Override public void watch(boolean on) { }
+
+            @Override public void fetch() { }
+        }, ServerList.EMPTY);
+    }
+
+    private Settings settings() {
+        List<RequestClass> classes = new ArrayList<>();
+        for (Effect e : Effect.values()) {
+            classes.add(new RequestClass(e.name(), SECOND / 2, 0, 2 * SECOND, 1, 0.5, e, Scope.ALL,
+                    300 * MILLI, false));
+        }
+        return new Settings(0, 1, 0, 1, classes, List.of(), 0.2, true,
+                new Limits(3, secondCopies, false, cancel, false, 20_000, false, 0, SECOND, 10 * SECOND, 1),
+                new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
+                new Prices(0, 0.1, 0, 0, 0, 0), Reports.NONE, Ratings.NONE, false, false, 5 * MILLI);
+    }
+
+    /** One attempt as the side towards upstreams has it: dialling until it is let go on. */
+    static final class Sent {
+        final Listener listener;
+        boolean abandoned;
+
+        Sent(Listener listener) {
+            this.listener = listener;
+        }
+
+        /** The connection is up: what goes out is what may begin. */
+        boolean comesUp() {
+            boolean goes = listener.mayBegin();
+            if (goes) {
+                listener.written();
+            } else {
+                listener.ended(Outcome.CONNECT_FAILED, null);
+            }
+            return goes;
+        }
+    }
+
+    /** What a client got. */
+    static final class Answered implements Client {
+        String id;
+        String got = "";
+
+        @Override public void served(ByteBuf body) {
+            got += "served";
+        }
+
+        @Override public void serving(long length) {
+            got += "serving";
+        }
+
+        @Override public void refused(long retryAfter) {
+            got += "refused";
+        }
+
+        @Override public void failed() {
+            got += "failed";
+        }
+
+        @Override public void piece(ByteBuf bytes) {
+            bytes.release();
+        }
+
+        @Override public void end(boolean whole) { }
+
+        @Override public boolean isWritable(Runnable whenWritable) {
+            return true;
+        }
+    }
+
+    /** Lists that many upstreams, started so long ago in milliseconds, 0 for long ago. */
+    Bench list(int upstreams, long startedAgoMs) {
+        List<ServerList.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < upstreams; i++) {
+            entries.add(new ServerList.Entry("u" + i, InetSocketAddress.createUnresolved("u", i), "z", "k", 0,
+                    State.READY, 1, startedAgoMs == 0 ? 0 : wallMillis() - startedAgoMs));
+        }
+        driver.list(ListKind.COMPLETE, new ServerList(1, true, entries));
+        return this;
+    }
+
+    /** A request of that class (0 safe, 1 keyed, 2 unsafe) that has come whole. */
+    Answered ask(int cls, long timeLeft) {
+        Answered client = new Answered();
+        client.id = "r" + ids++;
+        clients.add(client);
+        driver.request(new Request(client.id, cls, 0, null, 0, timeLeft, cls > 0, false),
+                new Head("GET", "/", null, false, List.of()), Body.empty(), client);
+        return client;
+    }
+
+    /** Lets time go on, in steps of a millisecond. */
+    void pass(long micros) {
+        for (long left = micros; left > 0; left -= MILLI) {
+            long step = Math.min(left, MILLI) * 1_000;
+            nanos += step;
+            clock.advanceTimeBy(step, TimeUnit.NANOSECONDS);
+            clock.runPendingTasks();
+        }
+    }
+
+    /** What the module holds to be in flight over all upstreams. */
+    int inFlight() {
+        return memory().upstreams().stream().mapToInt(k -> k.inFlight()).sum();
+    }
+
+    Memory memory() {
+        return driver.memory(0, 100);
+    }
+
+    @Override public Attempt start(String upstream, Head head, Body body, Listener listener) {
+        Sent attempt = new Sent(listener);
+        sent.add(attempt);
+        return () -> attempt.abandoned = true;
+    }
+
+    @Override public EventLoop loop() {
+        return clock.eventLoop();
+    }
+
+    @Override public long nanoTime() {
+        return nanos;
+    }
+
+    @Override public long wallMillis() {
+        return EPOCH_MS + nanos / 1_000_000;
+    }
+
+    @Override public RandomGenerator random() {
+        throw new IllegalStateException("nothing is drawn here");
+    }
+
+    @Override public Channel outgoing() {
+        throw new IllegalStateException("there are no sockets here");
+    }
+
+    @Override public Listening listening() {
+        throw new IllegalStateException("there are no sockets here");
+    }
+
+    @Override public Listening listeningAlone() {
+        throw new IllegalStateException("there are no sockets here");
+    }
+
+    @Override public void apply(ServerList list) { }
+
+    @Override public int listed() {
+        return 1;
+    }
+
+    @Override public void closeIdle(String upstream) { }
+
+    @Override public void times(long connectTimeout, long connectIdle) { }
+
+    @Override public void limit(int connections) { }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/exchange/LeavingTest.java
@@ -0,0 +1,136 @@
+package yewyoke.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.Balancer.Outcome;
+import yewyoke.exchange.Bench.Answered;
+
+/** Between the decision on an attempt and its first byte, clients leave and times run out. */
+class LeavingTest {
+    private static final long MILLI = Bench.MILLI;
+    private static final int SAFE = 0;
+    private static final int KEYED = 1;
+    private static final int UNSAFE = 2;
+
+    /** The dial went on, and the request was written once it came up. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void clientThatLeavesDuringTheDialEndsIt(boolean cancel) {
+        Bench b = new Bench(false, cancel).list(1, 0);
+        Answered client = b.ask(UNSAFE, 1_000 * MILLI);
+        assertEquals(1, b.inFlight());
+        b.driver.gone(client.id);
+        assertTrue(b.sent.get(0).abandoned);
+        assertEquals(0, b.inFlight());
+        assertEquals(0, b.figures.inProgress());
+        assertFalse(b.driver.isOpen(client.id));
+        assertFalse(b.sent.get(0).listener.mayBegin());
+    }
+
+    @Test
+    void writtenAttemptRunsOnWhereTheSettingsAllowNoCancel() {
+        Bench b = new Bench(false, false).list(1, 0);
+        Answered client = b.ask(SAFE, 1_000 * MILLI);
+        assertTrue(b.sent.get(0).comesUp());
+        b.driver.gone(client.id);
+        assertFalse(b.sent.get(0).abandoned);
+        assertEquals(1, b.inFlight());
+        b.sent.get(0).listener.ended(Outcome.OK, new Back.Answer(null, Unpooled.EMPTY_BUFFER));
+        assertEquals(0, b.inFlight());
+        assertEquals("", client.got);
+    }
+
+    /** With one attempt written and one dialling, each is ended by its own rule. */
+    @Test
+    void bothAttemptsOfAClientThatLeaves() {
+        Bench b = new Bench(true, true).list(2, 0);
+        Answered client = b.ask(SAFE, 1_000 * MILLI);
+        assertTrue(b.sent.get(0).comesUp());
+        b.driver.send(client.id, "u1", 0);
+        b.driver.gone(client.id);
+        assertTrue(b.sent.get(0).abandoned, "the module cancels what is written");
+        assertTrue(b.sent.get(1).abandoned);
+        assertFalse(b.driver.isOpen(client.id));
+        assertEquals(0, b.inFlight());
+    }
+
+    @Test
+    void heldRequestOfAClientThatLeavesIsSentNowhere() {
+        Bench b = new Bench(false, true);
+        Answered client = b.ask(SAFE, 1_000 * MILLI);
+        b.driver.gone(client.id);
+        b.list(3, 0);
+        b.pass(300 * MILLI);
+        assertEquals(0, b.sent.size());
+        assertEquals(0, b.figures.inProgress());
+    }
+
+    /** What was never sent used up the little that a cold upstream may get. */
+    @Test
+    void coldBudgetOfWhatWasNeverSentIsGivenBack() {
+        Bench b = new Bench(false, true).list(1, 19_000);
+        while (b.sent.isEmpty()) { // it begins with a debt
+            b.pass(100 * MILLI);
+            Answered client = b.ask(SAFE, 50 * MILLI);
+            if (b.sent.isEmpty()) {
+                b.driver.gone(client.id);
+            }
+        }
+        double spent = b.memory().upstreams().get(0).tokens();
+        b.driver.gone(b.clients.get(b.clients.size() - 1).id);
+        assertTrue(b.memory().upstreams().get(0).tokens() > spent);
+    }
+
+    /** The dial took longer than the client waits. */
+    @Test
+    void attemptDoesNotBeginAfterTheDeadline() {
+        Bench b = new Bench(false, true).list(1, 0);
+        Answered client = b.ask(SAFE, 100 * MILLI);
+        b.pass(86 * MILLI);
+        assertFalse(b.sent.get(0).comesUp());
+        b.pass(14 * MILLI);
+        assertEquals("refused", client.got);
+        assertEquals(1, b.sent.size());
+    }
+
+    /** Decided within the window, written after it. */
+    @Test
+    void repeatDoesNotBeginAfterTheWindow() {
+        Bench b = new Bench(false, true).list(2, 0);
+        Answered client = b.ask(KEYED, 2_000 * MILLI);
+        assertTrue(b.sent.get(0).comesUp());
+        b.pass(250 * MILLI);
+        b.sent.get(0).listener.ended(Outcome.RESET, null);
+        assertEquals(2, b.sent.size());
+        b.pass(40 * MILLI);
+        assertFalse(b.sent.get(1).comesUp());
+        assertEquals("refused", client.got, "with the scope of all a repeat by the client is harmless");
+        assertEquals(2, b.sent.size(), "and the module does not try on");
+        assertEquals(0, b.inFlight());
+    }
+
+    /** A refusal of ours says nothing of the upstream. */
+    @Test
+    void upstreamIsNotEjectedForWhatWeCalledOff() {
+        Bench b = new Bench(false, true).list(1, 0);
+        b.driver.gone(b.ask(SAFE, 1_000 * MILLI).id);
+        assertEquals(0, b.memory().upstreams().get(0).ejectedFor());
+        b.ask(SAFE, 1_000 * MILLI);
+        assertEquals(2, b.sent.size());
+    }
+
+    /** Read so late that its time is over: refused at once. */
+    @Test
+    void requestWithNoTimeLeftIsRefusedUnsent() {
+        Bench b = new Bench(false, true).list(1, 0);
+        assertEquals("refused", b.ask(SAFE, 0).got);
+        assertEquals(0, b.sent.size());
+        assertEquals(0, b.figures.inProgress());
+    }
+}
