--- a/src/test/java/yewyoke/Host.java
+++ b/src/test/java/yewyoke/Host.java
@@ -67,6 +67,7 @@
         double lateWorth = 0.5;
         int attempts = 4;
         long maxRetryAfter;
+        long drainGrace = SECOND;
         List<Tenant> tenants = List.of();
         Scope scope = Scope.ZONE;
 
@@ -79,7 +80,7 @@
             return new Settings(0, zones, position, group, classes, tenants, 0.2, true,
                     new Limits(attempts, secondCopies, probes, cancel, peers, 20_000, maxRetryAfter > 0,
                     maxRetryAfter, SECOND / 4, 10 * SECOND, 1),
-                    new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, SECOND, 3, 2 * SECOND),
+                    new RuleFigures(20 * MILLI, 10 * SECOND, 0.2, 20 * SECOND, drainGrace, 3, 2 * SECOND),
                     new Prices(crossZone, 0.1, probePrice, 0.01, 0.05, 0), reports, ratings, ask,
                     warmKeys, tick);
         }
