Clients that leave are seen before anything is done for them, and our close takes no answer along

Seen with tests on loopback sockets that hold the loop still until both bytes and close lie in the kernel: - Session.channelReadComplete took a request before the end that came with it was read: Netty's read loop stops when a read does not fill its buffer, and the FIN or RST came one turn later. Ruled out: deferring the taking alone, since that does not read the FIN.

Now a connection is read until there is no more (one read that finds nothing, respectMaybeMoreData off), and requests, also the last bytes of a body, are taken by a task behind that. Intake sees a client's bytes before the codec: it passes them on, or holds up to 16 KiB while there is no room, so that reading goes on, or drops them once nothing more is taken. Right before the first byte of an attempt the client is looked at again if its connection has not been read for 20 ms (Transport.look). Behind the last answer the output is shut and what comes is dropped until the client closes, 2 s at most (0.5 s in a stop); such connections go first when room is needed. What is to be closed while idle is read first; half requests get a 408. A request's time runs while it waits behind others. The life of a connection is the enum Stage.

The limit left: a client that has sent more than the 16 KiB behind what is held up is seen to leave only when there is room again.

--- a/src/main/java/yewyoke/exchange/Client.java
+++ b/src/main/java/yewyoke/exchange/Client.java
@@ -15,4 +15,9 @@
 
     /** Failed; nothing is promised. */
     void failed();
+
+    /** Whether it is still there; looked at now if that has not been done lately. */
+    default boolean isHere() {
+        return true;
+    }
 }
--- a/src/main/java/yewyoke/exchange/Driver.java
+++ b/src/main/java/yewyoke/exchange/Driver.java
@@ -350,7 +350,7 @@
         long told = Math.min(left, o.request.timeLeft()) / 1_000;
         attempt.attempt = upstreams.start(upstream, o.head.within(told), o.body, new Back.Listener() {
             @Override public boolean mayBegin() {
-                return attempt.begin(o.mayBegin(attempt, now()));
+                return Driver.this.mayBegin(o, attempt);
             }
 
             @Override public void ended(Outcome outcome, Answer answer) {
@@ -376,6 +376,17 @@
         }
     }
 
+    private boolean mayBegin(Open o, Try attempt) {
+        if (!attempt.isOut()) {
+            return false;
+        }
+        attempt.ask();
+        if (!o.concluded && !o.client.isHere()) {
+            gone(o.request.id());
+        }
+        return attempt.begin(o.mayBegin(attempt, now()));
+    }
+
     /** A large answer begins; from here on it is its client's, and no deadline cuts it off. */
     private Download opened(Open o, int number, long length) {
         if (o.concluded || o.streaming) {
@@ -400,7 +411,7 @@
 
     private void giveUp(Open o, int number, Outcome outcome) {
         Try attempt = o.attempts.get(number);
-        if (attempt.isOut()) {
+        if (attempt.canBeGivenUp()) {
             attempt.attempt.abandon();
             ended(o, number, outcome, null);
         }
--- a/src/main/java/yewyoke/exchange/Open.java
+++ b/src/main/java/yewyoke/exchange/Open.java
@@ -42,7 +42,7 @@
 
     /** Whether an attempt may begin at this instant: somebody waits for it, and it is legal. */
     boolean mayBegin(Try next, long now) {
-        return !concluded && !streaming && next.isUnsent() && lastLook.allows(next, attempts, deadline, now);
+        return !concluded && !streaming && lastLook.allows(next, attempts, deadline, now);
     }
 
     boolean outstanding() {
--- a/src/main/java/yewyoke/exchange/Try.java
+++ b/src/main/java/yewyoke/exchange/Try.java
@@ -4,11 +4,11 @@
 import yewyoke.Balancer.Outcome;
 
 /**
- * One attempt: it waits for its connection, begins with its first byte, and ends once. Times are the module's,
- * in microseconds.
+ * One attempt: it waits for its connection, begins with its first byte, and ends once. Times are the
+ * module's, in microseconds.
  */
 final class Try {
-    private enum State { UNSENT, BEGUN, ENDED }
+    private enum State { UNSENT, ASKING, DENIED, BEGUN, ENDED }
 
     final String upstream;
     /** When the module decided on it: what a class remembers is counted from here, before the bytes went. */
@@ -20,7 +20,6 @@
     boolean streams;
     private State state = State.UNSENT;
     private Outcome outcome;
-    private boolean denied;
     /** When it was written, and when its answer began: the time of a body is not the upstream's. */
     private long writtenAt;
     private long openedAt;
@@ -31,17 +30,19 @@
         this.writtenAt = sentAt;
     }
 
-    /** Its first byte goes out now if {@code allowed}; else it ends as never sent. */
+    /** Its first byte is about to go out. */
+    void ask() {
+        state = State.ASKING;
+    }
+
+    /** What has been asked: it goes out now if {@code allowed}; else it will end as never sent. */
     boolean begin(boolean allowed) {
-        denied = !allowed;
-        if (allowed && state == State.UNSENT) {
-            state = State.BEGUN;
-        }
+        state = allowed ? State.BEGUN : State.DENIED;
         return allowed;
     }
 
     void written(long now) {
-        begin(true);
+        state = state == State.UNSENT ? State.BEGUN : state;
         writtenAt = now;
     }
 
@@ -54,7 +55,7 @@
      * nothing is known of the upstream, and it never ran.
      */
     Outcome end(Outcome how) {
-        boolean calledOff = denied || how == Outcome.CANCELLED && state == State.UNSENT;
+        boolean calledOff = state == State.DENIED || how == Outcome.CANCELLED && isUnsent();
         state = State.ENDED;
         outcome = calledOff ? Outcome.MOOT : how;
         if (timeout != null) {
@@ -64,7 +65,12 @@
     }
 
     boolean isUnsent() {
-        return state == State.UNSENT;
+        return state == State.UNSENT || state == State.ASKING || state == State.DENIED;
+    }
+
+    /** Whether it can be given up; one that asks, or was denied, is about to hear or to end. */
+    boolean canBeGivenUp() {
+        return state == State.UNSENT || state == State.BEGUN;
     }
 
     boolean isOut() {
--- a/src/main/java/yewyoke/faults/VirtualChannel.java
+++ b/src/main/java/yewyoke/faults/VirtualChannel.java
@@ -93,6 +93,13 @@
         }
     }
 
+    /** Delivers at once what lies ready. */
+    void look() {
+        if (end != null && (end.hasBytes() || end.isFinished())) {
+            deliver();
+        }
+    }
+
     private void deliver() {
         delivering = false;
         if (closed || !readPending || end == null) {
@@ -113,6 +120,9 @@
             buffer.writeBytes(bytes);
             pipeline().fireChannelRead(buffer);
             pipeline().fireChannelReadComplete();
+            if (config.isAutoRead() && end.isFinished()) {
+                unsafe().close(voidPromise()); // as on sockets that are read until there is no more
+            }
         } else if (end.isFinished()) {
             unsafe().close(voidPromise());
         }
--- a/src/main/java/yewyoke/faults/VirtualTransport.java
+++ b/src/main/java/yewyoke/faults/VirtualTransport.java
@@ -108,6 +108,10 @@
         return new VirtualChannel(this, null, null);
     }
 
+    @Override public void look(Channel channel) {
+        ((VirtualChannel) channel).look();
+    }
+
     @Override public Listening listening() {
         return new VirtualListener(this);
     }
--- a/src/main/java/yewyoke/faults/process/program/Skewed.java
+++ b/src/main/java/yewyoke/faults/process/program/Skewed.java
@@ -149,6 +149,10 @@
             return real.outgoing();
         }
 
+        @Override public void look(Channel channel) {
+            real.look(channel);
+        }
+
         @Override public Listening listening() {
             return real.listening();
         }
--- a/src/main/java/yewyoke/http1/client/ClientServer.java
+++ b/src/main/java/yewyoke/http1/client/ClientServer.java
@@ -1,10 +1,12 @@
 package yewyoke.http1.client;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -38,7 +40,11 @@
     /** So long a connection is kept between requests, and one whose client reads nothing of its answer. */
     private static final long IDLE_MS = 5_000;
     private static final long UNREAD_MS = 6_000;
-    /** With all connections taken, these make room: silent from the start, stopped half way, or idle. */
+    /** So long a client may take to close its side after ours; with a stop under way there is less time. */
+    private static final long LINGER_MS = 2_000;
+    private static final long LAST_LINGER_MS = 500;
+    /** With all connections taken, these make room: answered for good, silent, stopped half way, or idle. */
+    private static final long YIELD_ANSWERED_MS = 100;
     private static final long YIELD_NEW_MS = 250;
     private static final long YIELD_HALF_MS = 1_000;
     private static final long YIELD_OLD_MS = 2_000;
@@ -52,10 +58,19 @@
     RequestCheck check;
     private int maxConnections;
     private final Set<Session> sessions = new HashSet<>();
-    /** Connections with a request to come, those between two requests, and those with an answer to read. */
+    /** As many as the library's own reads go on for. */
+    private static final int READS = 16;
+    /** A read that finds no more tells whether there is an end: a request and its client's close in one. */
+    private static final RecvByteBufAllocator TO_THE_END = new AdaptiveRecvByteBufAllocator()
+            .respectMaybeMoreData(false).maxMessagesPerRead(READS);
+    /**
+     * Connections with a request to come, those between two requests, those with an answer to read, and those
+     * that have their last answer and are still to be closed by their client.
+     */
     final Set<Session> silent = new LinkedHashSet<>();
     final Set<Session> idle = new LinkedHashSet<>();
     final Set<Session> unread = new LinkedHashSet<>();
+    final Set<Session> lingering = new LinkedHashSet<>();
     private final Promise<Void> drained;
     private volatile Listening listening;
     private volatile boolean stopping;
@@ -96,7 +111,8 @@
     public void prepare(Channel channel) {
         Session session = new Session(this, channel);
         channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
-        channel.pipeline().addLast(session.watch(), new HttpServerCodec(DECODER), session);
+        channel.config().setRecvByteBufAllocator(TO_THE_END);
+        channel.pipeline().addLast(session.intake(), new HttpServerCodec(DECODER), session);
     }
 
     void opened(Session session) {
@@ -192,7 +208,10 @@
     private void sweep() {
         List.copyOf(silent).forEach(this::endIfStopped);
         while (lasts(idle, IDLE_MS)) {
-            idle.iterator().next().close();
+            idle.iterator().next().retire();
+        }
+        while (lasts(lingering, leaving ? LAST_LINGER_MS : LINGER_MS)) {
+            lingering.iterator().next().close();
         }
         while (lasts(unread, UNREAD_MS)) {
             unread.iterator().next().close();
@@ -200,14 +219,20 @@
         makeRoom();
     }
 
-    /** Judged by progress: honest clients may be slow, others stop half way. */
     private void endIfStopped(Session s) {
-        boolean stopped = s.readsHead()
+        if (hasStopped(s)) {
+            s.look(); // the loop may be behind
+            if (hasStopped(s)) {
+                s.reject(HttpResponseStatus.REQUEST_TIMEOUT, "no request");
+            }
+        }
+    }
+
+    /** Judged by progress: honest clients may be slow, others stop half way. */
+    private static boolean hasStopped(Session s) {
+        return s.readsHead()
                 ? s.quietMs() > HEAD_PAUSE_MS && s.sinceMs() > SILENT_MS || s.sinceMs() > LONGEST_HEAD_MS
                 : s.quietMs() > SILENT_MS;
-        if (stopped) {
-            s.reject(HttpResponseStatus.REQUEST_TIMEOUT, "no request");
-        }
     }
 
     /** Each of the sets has the longest first. */
@@ -229,6 +254,10 @@
     /** Beyond the limit clients wait to be accepted: with more, upstreams would lack descriptors. */
     private void makeRoom() {
         while (sessions.size() >= maxConnections) {
+            if (lasts(lingering, YIELD_ANSWERED_MS)) {
+                lingering.iterator().next().close();
+                continue;
+            }
             Optional<Session> yields = silent.stream().filter(s -> s.isNew() && s.sinceMs() > YIELD_NEW_MS)
                     .findFirst().or(() -> silent.stream().filter(s -> s.readsHead()
                             && s.quietMs() > YIELD_HALF_MS).findFirst())
@@ -236,7 +265,7 @@
             if (yields.isEmpty()) {
                 break;
             }
-            yields.get().close();
+            yields.get().retire();
         }
         if (listening != null && listening.isOpen() && listening.isRegistered()) {
             listening.config().setAutoRead(sessions.size() < maxConnections);
--- a/src/main/java/yewyoke/http1/client/Session.java
+++ b/src/main/java/yewyoke/http1/client/Session.java
@@ -3,9 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
@@ -40,34 +38,38 @@
     private static final System.Logger LOG = System.getLogger(Session.class.getName());
     /** Requests that may wait behind the one in work; a client that sends more is no usual one. */
     private static final int MAX_PIPELINED = 8;
-    /** A client that is answered before it has sent all gets so long to read that, and then it has to go. */
-    private static final long LINGER_MS = 2_000;
+    /**
+     * A client counts as gone 0.1 s after its close. Where the loop has not come to read a connection for a
+     * fifth of that, it is looked at before anything is done for it.
+     */
+    private static final long LOOK_MS = 20;
 
     private final ClientServer server;
     private final Channel channel;
+    private final Intake intake;
     private final Deque<Incoming> waiting = new ArrayDeque<>();
     /** The request of which more is to come. */
     private Incoming reading;
     /** The request in work, and its id until its answer is whole. */
     private Incoming serving;
     private String current;
+    /** All of the request in work has come, which its upstream is still to be told. */
+    private boolean receives;
     private boolean busy;
-    private boolean closing;
+    private Stage stage = Stage.OPEN;
+    /** Whether any of an answer has been written that is not written whole. */
+    private boolean answering;
     private Runnable resume;
     private int pendingWrites;
     /** Whether the connection ends behind the large answer under way. */
     private boolean lastAnswer;
-    /** When the connection came into the one of the sets that it is in, and when its last byte came. */
+    /** When the connection came into the one of the sets that it is in. */
     private long since;
-    private long byteAt;
-    private boolean anyByte;
-
-    /** A request with as much of its body as has come. */
-    private record Incoming(HttpRequest head, Body body) { }
 
     Session(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
+        this.intake = new Intake(server.transport, this::bytesCome);
     }
 
     // ---- How long it has been doing what -------------------------------------------------------------
@@ -82,6 +84,7 @@
         server.silent.remove(this);
         server.idle.remove(this);
         server.unread.remove(this);
+        server.lingering.remove(this);
     }
 
     long sinceMs() {
@@ -90,12 +93,11 @@
 
     /** How long nothing has come, though there was room for it. */
     long quietMs() {
-        return channel.config().isAutoRead()
-                ? TimeUnit.NANOSECONDS.toMillis(server.transport.nanoTime() - byteAt) : 0;
+        return intake.quietMs();
     }
 
     boolean isNew() {
-        return !anyByte;
+        return !intake.anyByte();
     }
 
     boolean readsHead() {
@@ -103,44 +105,83 @@
     }
 
     /** Sees all bytes, also those that are not yet a message. */
-    ChannelHandler watch() {
-        return new ChannelInboundHandlerAdapter() {
-            @Override public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-                byteAt = server.transport.nanoTime();
-                anyByte = true;
-                if (server.idle.contains(Session.this)) {
-                    enter(server.silent);
-                }
-                ctx.fireChannelRead(bytes);
-            }
-        };
+    Intake intake() {
+        return intake;
+    }
+
+    private void bytesCome() {
+        if (server.idle.contains(this)) {
+            enter(server.silent);
+        }
     }
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
-        byteAt = server.transport.nanoTime();
         enter(server.silent);
         server.opened(this);
     }
 
+    // ---- Its end -------------------------------------------------------------------------------------
+
+    /** Reads what has come, also when it is not yet the loop's turn; whether anything had. */
+    boolean look() {
+        return intake.look();
+    }
+
+    @Override public boolean isHere() {
+        if (intake.unlookedMs() >= LOOK_MS) {
+            look();
+        }
+        return channel.isOpen();
+    }
+
+    /**
+     * Ends a connection that waits for a request. What has come by now is read, and keeps the connection if
+     * it is a request's beginning; what comes later stays unread and is its client's to send again.
+     */
+    void retire() {
+        if (look() || mayTake()) {
+            return;
+        }
+        if (isNew() || server.idle.contains(this) || !channel.isOpen()) {
+            close();
+        } else {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "no request");
+        }
+    }
+
     /** Closes; counts as closed at once, while the channel says so a little later. */
     void close() {
+        stage = Stage.CLOSED;
         server.closing(this);
         leave();
         channel.close();
     }
 
+    /**
+     * Our side is shut behind the last answer. Closed at once, with bytes unread or still to come, the
+     * connection would be reset and take the answer along; so what comes is dropped until the client closes.
+     */
+    private void linger() {
+        release();
+        stage = Stage.LINGERING;
+        intake.drop();
+        if (channel.isActive()) {
+            enter(server.lingering);
+            ((DuplexChannel) channel).shutdownOutput();
+        }
+    }
+
     @Override public void channelInactive(ChannelHandlerContext ctx) {
+        stage = Stage.CLOSED;
         leave();
-        end();
+        intake.drop();
+        giveUp();
         server.closed(this);
     }
 
     /** Nothing more is taken from this client, and what it has open is given up. */
-    private void end() {
-        closing = true;
-        waiting.forEach(i -> i.body.release());
-        waiting.clear();
-        reading = null;
+    private void giveUp() {
+        release();
         if (current != null) {
             String id = current;
             current = null;
@@ -148,10 +189,21 @@
         }
     }
 
+    /** Forgets the requests that are not in work, and what is missing of the one that is. */
+    private void release() {
+        waiting.forEach(Incoming::release);
+        waiting.clear();
+        if (receives) {
+            receives = false;
+            serving.release();
+        }
+        reading = null;
+    }
+
     // ---- Requests ------------------------------------------------------------------------------------
 
     @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-        if (closing) {
+        if (stage != Stage.OPEN) {
             return;
         }
         if (part.decoderResult().isFailure()) {
@@ -160,18 +212,20 @@
         } else if (part instanceof HttpRequest head) {
             begin(head);
         } else if (part instanceof HttpContent content && reading != null) {
-            Body body = reading.body;
-            body.add(content.content().retain());
-            if (body.came() > Body.MOST) {
+            Incoming incoming = reading;
+            if (incoming.body.came() + content.content().readableBytes() > Body.MOST) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
             } else if (part instanceof LastHttpContent) {
-                boolean inWork = reading == serving;
                 reading = null;
-                body.end();
-                if (inWork) {
-                    leave();
-                    server.driver.received(current);
+                incoming.keepLast(content.content(), server.transport.nanoTime());
+                if (incoming == serving) {
+                    receives = true; // told once the read has ended, like a request that comes whole
+                } else {
+                    incoming.end();
                 }
+            } else {
+                incoming.body.add(content.content().retain());
+                readOn();
             }
         }
     }
@@ -203,23 +257,43 @@
         }
     }
 
-    /** Nothing is taken before all that came with it has been seen. */
+    /**
+     * Nothing is taken before all that came with it has been seen. The end of the connection, if it came
+     * along, is told only behind this call; so this goes on from a task.
+     */
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-        next();
+        if (receives || !waiting.isEmpty()) {
+            channel.eventLoop().execute(this::next);
+        }
     }
 
     private void next() {
-        while (!busy && !closing && !waiting.isEmpty() && (waiting.peek().body.isEnded()
-                || waiting.peek().body.came() > Body.SMALL)) {
+        if (receives && isHere()) {
+            receives = false;
+            leave();
+            serving.end();
+            if (current != null) {
+                server.driver.received(current);
+            }
+        }
+        while (mayTake() && isHere() && mayTake()) {
             take(waiting.poll());
         }
         readOn();
     }
 
+    private boolean mayTake() {
+        return !busy && stage == Stage.OPEN && !waiting.isEmpty() && (waiting.peek().body.isEnded()
+                || waiting.peek().body.came() > Body.SMALL);
+    }
+
     /** Reads as long as there is room for what comes; of an answered request's rest all is dropped. */
     private void readOn() {
-        boolean room = waiting.size() < MAX_PIPELINED && (reading == null || reading.body.wantsMore());
-        channel.config().setAutoRead(closing || room);
+        if (waiting.size() < MAX_PIPELINED && (reading == null || reading.body.wantsMore())) {
+            intake.open();
+        } else {
+            intake.hold();
+        }
     }
 
     private void take(Incoming incoming) {
@@ -230,12 +304,13 @@
             if (uri.path().equals("/healthz")) {
                 incoming.body.release();
                 boolean ready = server.whyNotReady().isEmpty();
-                closing = true; // asked seldom: not worth a connection kept
+                stage = Stage.ENDING; // asked seldom: not worth a connection kept
+                intake.drop();
                 answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                         Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
-            request = server.check.request(incoming.head, uri, incoming.body.length() != 0);
+            request = inTime(server.check.request(incoming.head, uri, incoming.body.length() != 0), incoming);
             if (server.driver.isOpen(request.id())) {
                 throw new BadInput("a request with this id is open");
             }
@@ -253,12 +328,24 @@
         server.driver.request(request, RequestCheck.forwarded(incoming.head), incoming.body, this);
     }
 
+    /** The request with the time that is left of it: it may have waited here behind others. */
+    private Request inTime(Request request, Incoming incoming) {
+        long waited = incoming.body.isEnded()
+                ? TimeUnit.NANOSECONDS.toMillis(server.transport.nanoTime() - incoming.wholeAt) : 0;
+        return waited == 0 ? request : request.within(Math.max(0, request.timeLeft() - waited * 1_000));
+    }
+
     /** For a client that does not keep to the protocol: it would only send more of the kind. */
     void reject(HttpResponseStatus status, String why) {
-        if (!closing && serving != null && pendingWrites > 0) {
-            close(); // an answer is under way, and this one can't come behind half of it
-        } else if (!closing) {
-            end();
+        if (stage != Stage.OPEN) {
+            return;
+        }
+        stage = Stage.ENDING;
+        intake.drop();
+        if (answering) {
+            release(); // an answer is under way: this one can't come behind half of it, and the end does
+        } else {
+            giveUp();
             answer(status, Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
         }
     }
@@ -292,7 +379,7 @@
     /** Whether the connection ends behind this answer, and says so in its head. */
     private boolean isLast(HttpResponse answer) {
         boolean unsent = reading != null && reading == serving;
-        boolean last = server.leaving || closing || unsent
+        boolean last = server.leaving || stage != Stage.OPEN || unsent
                 || serving != null && !HttpUtil.isKeepAlive(serving.head);
         if (last) {
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -301,13 +388,14 @@
     }
 
     private void write(Object message, Runnable then) {
+        answering = true;
         if (pendingWrites++ == 0) {
             enter(server.unread);
         }
         channel.writeAndFlush(message).addListener(f -> {
             pendingWrites--;
             if (!f.isSuccess()) {
-                channel.close();
+                close();
                 return;
             }
             leave();
@@ -319,10 +407,13 @@
     }
 
     private void done(boolean last) {
+        if (receives) {
+            receives = false; // answered before all of it was passed on
+            serving.release();
+        }
         serving = null;
-        if (last && reading == null) {
-            close();
-        } else if (last) {
+        answering = false;
+        if (last || stage == Stage.ENDING) {
             linger();
         } else if (channel.isActive()) {
             enter(reading == null ? server.idle : server.silent);
@@ -334,17 +425,6 @@
         });
     }
 
-    /** Closed at once, with bytes unread, the connection would be reset and take the answer along. */
-    private void linger() {
-        closing = true;
-        reading = null;
-        readOn();
-        if (channel instanceof DuplexChannel duplex) {
-            duplex.shutdownOutput();
-        }
-        channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
-    }
-
     // ---- Large answers -------------------------------------------------------------------------------
 
     @Override public void serving(long length) {
@@ -389,6 +469,6 @@
         if (!(cause instanceof IOException || cause instanceof CodecException)) {
             LOG.log(System.Logger.Level.ERROR, "closed a client connection after a failure", cause);
         }
-        channel.close();
+        close();
     }
 }
--- a/src/main/java/yewyoke/transport/SocketTransport.java
+++ b/src/main/java/yewyoke/transport/SocketTransport.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.StandardSocketOptions;
@@ -42,6 +43,12 @@
         return channel;
     }
 
+    @Override public void look(Channel channel) {
+        if (channel.isRegistered() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
     @Override public Listening listening() {
         Listening listener = listeningAlone();
         listener.config().setOption(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
--- a/src/main/java/yewyoke/transport/Transport.java
+++ b/src/main/java/yewyoke/transport/Transport.java
@@ -47,6 +47,12 @@
         return connected;
     }
 
+    /**
+     * Reads at once what lies ready at a connection, and its end if that is next; for when the loop may not
+     * have come to it for long. Never from within a read of the same connection.
+     */
+    void look(Channel channel);
+
     /** A channel for an address to be listened at, not registered yet. */
     Listening listening();
 
--- a/src/test/java/yewyoke/exchange/Bench.java
+++ b/src/test/java/yewyoke/exchange/Bench.java
@@ -93,6 +93,8 @@
     static final class Answered implements Client {
         String id;
         String got = "";
+        /** Whether it is there when looked for. */
+        boolean here = true;
 
         @Override public void served(ByteBuf body) {
             got += "served";
@@ -116,6 +118,10 @@
 
         @Override public void end(boolean whole) { }
 
+        @Override public boolean isHere() {
+            return here;
+        }
+
         @Override public boolean isWritable(Runnable whenWritable) {
             return true;
         }
@@ -195,6 +201,10 @@
         throw new IllegalStateException("there are no sockets here");
     }
 
+    @Override public void look(Channel channel) {
+        throw new IllegalStateException("there are no sockets here");
+    }
+
     @Override public void apply(ServerList list) { }
 
     @Override public int listed() {
--- a/src/test/java/yewyoke/exchange/LeavingTest.java
+++ b/src/test/java/yewyoke/exchange/LeavingTest.java
@@ -46,6 +46,19 @@
         assertEquals("", client.got);
     }
 
+    /** The loop lags: the dial is up, and the client's close has not been read. */
+    @Test
+    void clientIsLookedForBeforeTheFirstByte() {
+        Bench b = new Bench(false, true).list(3, 0);
+        Answered client = b.ask(SAFE, 1_000 * MILLI);
+        client.here = false;
+        assertFalse(b.sent.get(0).comesUp());
+        assertEquals(1, b.sent.size(), "and the module does not try on");
+        assertEquals(0, b.figures.inProgress());
+        assertFalse(b.driver.isOpen(client.id));
+        assertEquals(0, b.inFlight());
+    }
+
     /** With one attempt written and one dialling, each is ended by its own rule. */
     @Test
     void bothAttemptsOfAClientThatLeaves() {
