Signals are handled from the first line of a start on, by states

Main set the handlers of TERM and INT after the listener was open and "serving" was printed. A signal in between ended the JVM by default (code 143) with what had been taken by then; so did one while the configuration was read, during the rehearsal and while a successor waited for its list. HUP was handled first, but what it found was an AtomicReference that the main thread set after the node had been made on the loop: a file written and signalled between the node's reading of it and that line was read by nobody.

Lifecycle (STARTING, UP, STOPPING, STOPPED) takes all three signals before anything else; a start that is told to stop ends at once with code 0, a node that is not bound yet at once, one that is binding waits for the address and then drains. The node is made known on the loop, in the same task that makes it. Node.stop reads the configuration on the loop now (it was read on the signal's thread while a reload could change it), counts its times from the signal, and says "stopping" from there. NODE_CONFIG missing is one plain line. An Error at the start ends the process, too: the threads that were begun kept a JVM that served nobody.

On the way to the successor's wait and the binding the seams are those of Outside and Transport.

--- a/src/main/java/yewyoke/http1/client/ClientServer.java
+++ b/src/main/java/yewyoke/http1/client/ClientServer.java
@@ -127,6 +127,11 @@
         return listening.localAddress();
     }
 
+    /** From now on no new client should come here; any thread may tell. */
+    public void leaves() {
+        stopping = true;
+    }
+
     /**
      * A planned stop: goes on accepting while clients still come, and serving those that have connections.
      * All that was taken is answered, the last of it as failed when time runs out. The future is done when
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -6,18 +6,19 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.PrintStream;
-import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntConsumer;
 import yewyoke.adapter.Adapter;
 import yewyoke.exchange.Figures;
+import yewyoke.exchange.Modules;
 import yewyoke.settings.BadInput;
 import yewyoke.logging.Logs;
 import yewyoke.ops.Door;
 import yewyoke.transport.RestingIo;
 import yewyoke.transport.SocketTransport;
+import yewyoke.transport.Transport;
 import yewyoke.settings.BadOperatorFile;
 import yewyoke.settings.OperatorFile;
 import yewyoke.state.Disk;
@@ -43,6 +44,9 @@
     /** Runs until SIGTERM ({@code serve}) or the end of input ({@code adapter}). */
     public static void main(String[] args) throws Exception {
         if (path(System.getenv("NODE_OPERATOR")) != null && !Wide.already()) {
+            if (serves(args)) {
+                new Lifecycle(System.err, System::exit).listenTo(Signals::ofSystem); // until the real one does
+            }
             Wide.main(args); // what the operator's file switches on needs libraries of its own
             return;
         }
@@ -58,75 +62,84 @@
         if (System.getProperty(LOG_FORMAT) == null) {
             System.setProperty(LOG_FORMAT, "%4$s %5$s%6$s%n");
         }
-        int exit = run(args, System.getenv("NODE_CONFIG"), System.err, outside);
+        int exit = run(args, System.getenv("NODE_CONFIG"), System.err, outside, Signals::ofSystem,
+                System::exit);
         if (exit != 0) {
             System.exit(exit);
         }
     }
 
-    /** In the usual surroundings. */
-    static int run(String[] args, String config, PrintStream err) {
-        return run(args, config, err, null);
+    private static boolean serves(String[] args) {
+        return args.length == 1 && args[0].equals("serve");
     }
 
     /**
-     * Returns 0 once serving or at the adapter's end, 1 if that failed, 2 after a wrong command line.
-     * {@code outside} is null for real time and files, so that service loads nothing for the sake of others.
+     * Returns 0 once serving, when told to stop before that and at the adapter's end, 1 if that failed, 2
+     * after a wrong command line. A stop ends in {@code exit}.
+     *
+     * @param outside null for real time and files, so that service loads nothing for the sake of others
      */
-    private static int run(String[] args, String config, PrintStream err, Outside outside) {
+    static int run(String[] args, String config, PrintStream err, Outside outside, Signals signals,
+            IntConsumer exit) {
         if (args.length == 1 && args[0].equals("adapter")) {
             return Adapter.run(args, System.in, System.out, err);
         }
-        if (args.length != 1 || !args[0].equals("serve")) {
+        if (!serves(args)) {
             return Wide.tool(args, System.out, err);
         }
-        // Netty would take SLF4J, which lies on the class path for those who want it, and load it every time.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        Path operator = path(System.getenv("NODE_OPERATOR"));
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, RestingIo.factory());
+        Lifecycle life = new Lifecycle(err, exit);
+        EventLoopGroup group = null;
         try {
+            life.listenTo(signals);
+            // Netty would take SLF4J, which lies on the class path for those who want it, and load it always.
+            InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
             if (config == null) {
-                throw new IllegalArgumentException("NODE_CONFIG is not set");
+                throw new BadInput("NODE_CONFIG is not set");
             }
-            Path file = Path.of(config);
-            OperatorFile told = operator == null ? null : OperatorFile.read(operator);
-            if (told != null) {
-                Logs.use(told.log());
+            group = new MultiThreadIoEventLoopGroup(1, RestingIo.factory());
+            start(Path.of(config), path(System.getenv("NODE_OPERATOR")), group.next(), outside, life);
+            return 0;
+        } catch (Exception | Error e) { // an Error, too: the threads begun would keep the JVM and serve nobody
+            if (group != null) {
+                group.shutdownGracefully();
             }
-            EventLoop loop = group.next();
-            AtomicReference<Node> node = new AtomicReference<>();
-            // First of all: unhandled, the signal ends the JVM. A node not up yet reads the new file anyway.
-            Figures figures = new Figures();
-            on("HUP", () -> loop.execute(() -> {
-                if (node.get() != null) {
-                    node.get().reload();
-                }
-                reload(operator);
-            }));
-            Config first = Config.read(file);
-            InetSocketAddress ops = door(first, System.getenv("NODE_OPS"));
-            if (ops != null) {
-                // A thread of its own, so that a busy balancer still answers.
-                EventLoop own = new MultiThreadIoEventLoopGroup(1, RestingIo.factory()).next();
-                new Door(new SocketTransport(own), ops, figures, () -> {
-                    Node up = node.get();
-                    return up == null ? "starting" : up.server().whyNotReady();
-                });
+            return life.fails(firstLine(e));
+        }
+    }
+
+    /** Each step is the last one if the process is told to stop meanwhile. */
+    private static void start(Path file, Path operator, EventLoop loop, Outside outside, Lifecycle life)
+            throws Exception {
+        OperatorFile told = operator == null ? null : OperatorFile.read(operator);
+        if (told != null) {
+            Logs.use(told.log());
+        }
+        // On the loop, where the node is made: before that there is none, and it reads the new file anyway.
+        life.onReload(() -> loop.execute(() -> {
+            if (life.node() != null) {
+                life.node().reload();
             }
-            int rehearsed = Rehearsal.run(first, REHEARSED, REHEARSAL_MS);
-            node.set(outside == null ? Node.start(file, loop, figures, temporary(), shelf(told, null))
-                    : Node.start(file, outside.transport(loop), figures, temporary(), shelf(told, outside),
-                            outside.modules()));
-            node.get().listen();
-            err.println("serving, with " + rehearsed + " requests rehearsed");
-            // No shutdown hook: as soon as those run, the log is closed, and a stop has something to say.
-            on("TERM", () -> stop(node.get(), err));
-            on("INT", () -> stop(node.get(), err));
-            return 0;
-        } catch (Exception e) {
-            err.println("can't serve: " + firstLine(e));
-            group.shutdownGracefully();
-            return 1;
+            reload(operator);
+        }));
+        Config first = Config.read(file);
+        Figures figures = new Figures();
+        InetSocketAddress ops = door(first, System.getenv("NODE_OPS"));
+        if (ops != null) {
+            // A thread of its own, so that a busy balancer still answers.
+            EventLoop own = new MultiThreadIoEventLoopGroup(1, RestingIo.factory()).next();
+            new Door(new SocketTransport(own), ops, figures, life::whyNotReady);
+        }
+        int rehearsed = Rehearsal.run(first, REHEARSED, REHEARSAL_MS);
+        Transport transport = outside == null ? new SocketTransport(loop) : outside.transport(loop);
+        Shelf shelf = shelf(told, outside);
+        Modules modules = outside == null ? Modules.BALANCE : outside.modules();
+        Node node = !life.starts() ? null : loop.submit(() -> {
+            Node made = Node.create(() -> Config.read(file), transport, figures,
+                    listen -> LockTwin.join(temporary(), listen), shelf, modules);
+            return life.begun(made) ? made : null;
+        }).sync().getNow();
+        if (node != null && node.listen()) {
+            life.serves(rehearsed);
         }
     }
 
@@ -173,30 +186,8 @@
         return Path.of(folder == null || folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder);
     }
 
-    static String firstLine(Exception e) {
+    static String firstLine(Throwable e) {
         boolean ours = e instanceof BadInput || e instanceof BadOperatorFile;
         return (ours ? e.getMessage() : e.toString()).lines().findFirst().orElse("");
     }
-
-    /** Ends the process once nothing is left to be answered; asked again, it goes on with that. */
-    private static void stop(Node node, PrintStream err) {
-        err.println("stopping");
-        node.stop().addListener(f -> {
-            err.println("stopped");
-            new Thread(() -> System.exit(0)).start();
-        });
-    }
-
-    /** Signals by reflection: the compiler warns of the class, and warnings are errors here. */
-    private static void on(String name, Runnable body) throws ReflectiveOperationException {
-        Class<?> signal = Class.forName("sun.misc.Signal");
-        Class<?> handler = Class.forName("sun.misc.SignalHandler");
-        Object ours = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
-                (proxy, method, args) -> {
-                    body.run();
-                    return null;
-                });
-        signal.getMethod("handle", signal, handler)
-                .invoke(null, signal.getConstructor(String.class).newInstance(name), ours);
-    }
 }
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -36,6 +36,7 @@
     /** How often to look for a second process, and whether the list is known. */
     private static final long LOOK_MS = 100;
 
+    private final Transport transport;
     private final EventLoop loop;
     private final ConfigSource source;
     private final Figures figures;
@@ -48,10 +49,16 @@
     private final Keeper keeper;
     private final ServerList known;
     private boolean shares;
-    private Future<Void> stopped;
+    private Phase phase = Phase.CLOSED;
+    private Future<Void> listened;
+    private Promise<Void> stopped;
+
+    /** Whether clients can get in; {@link #listen} and {@link #stop} lead from one to the next, on the loop. */
+    private enum Phase { CLOSED, BINDING, OPEN, STOPPING }
 
     private Node(Transport transport, ConfigSource source, Figures figures, Twin twin, Config config,
             Shelf shelf, Modules modules) {
+        this.transport = transport;
         this.loop = transport.loop();
         this.source = source;
         this.figures = figures;
@@ -114,14 +121,16 @@
         return node;
     }
 
-    /** Lets clients in, and returns when it does. */
-    void listen() throws InterruptedException {
-        listening().sync();
+    /** Lets clients in, and returns when it does; false if it was told to stop before. */
+    boolean listen() throws InterruptedException {
+        Future<Void> done = listening();
+        return done.await().isCancelled() ? false : done.sync().isSuccess();
     }
 
     /**
-     * Lets clients in. One that replaces another waits for the list: from the moment it listens the system
-     * deals part of the clients to it, and the other one still serves them better.
+     * Lets clients in; cancelled if the stop comes first. One that replaces another waits for the list: from
+     * the moment it listens the system deals part of the clients to it, and the other one still serves them
+     * better.
      */
     public Future<Void> listening() {
         Promise<Void> done = loop.newPromise();
@@ -130,14 +139,22 @@
     }
 
     private void listen(Promise<Void> done) {
+        if (phase == Phase.STOPPING) {
+            done.cancel(false);
+            return;
+        }
         if (twin.lives() && !driver.ready()) {
             loop.schedule(() -> listen(done), LOOK_MS, TimeUnit.MILLISECONDS);
             return;
         }
+        phase = Phase.BINDING;
+        listened = done;
         server.bind(config.listen()).addListener(f -> {
             if (f.isSuccess()) {
+                phase = Phase.OPEN;
                 done.setSuccess(null);
             } else {
+                phase = Phase.CLOSED;
                 done.setFailure(f.cause());
             }
         });
@@ -183,22 +200,45 @@
 
     /**
      * Ends without losing anything; the future is done when nothing is left. With a successor in place
-     * clients go there from now on; without one they have nowhere to go yet and are still let in.
+     * clients go there from now on; without one they have nowhere to go yet and are still let in. Any thread
+     * may ask; times count from this call, however late the loop gets to it.
      */
     public synchronized Future<Void> stop() {
-        if (stopped != null) {
-            return stopped; // told again
+        if (stopped == null) { // or told again
+            stopped = loop.newPromise();
+            server.leaves();
+            long told = transport.nanoTime();
+            loop.execute(() -> stop(told));
+        }
+        return stopped;
+    }
+
+    private void stop(long told) {
+        switch (phase) {
+            case CLOSED -> {
+                phase = Phase.STOPPING;
+                stopped.setSuccess(null); // nothing was taken
+            }
+            case BINDING -> listened.addListener(f -> stop(told)); // whoever has connected by then is served
+            case OPEN -> {
+                phase = Phase.STOPPING;
+                drain(TimeUnit.NANOSECONDS.toMillis(transport.nanoTime() - told));
+            }
+            default -> throw new IllegalStateException("stops twice");
         }
+    }
+
+    private void drain(long behindMs) {
         long longest = config.facts().settings().classes().stream()
                 .mapToLong(Balancer.RequestClass::giveUp).max().orElse(0) / 1_000;
-        long kill = Math.min(LONGEST_DEADLINE_MS, longest) + KILL_MS;
+        long kill = Math.min(LONGEST_DEADLINE_MS, longest) + KILL_MS - behindMs;
         long leave = Math.max(KEEP_ACCEPTING_MS, kill - LAST_REQUEST_MS);
         keeper.leaving();
         boolean successor = twin.lives();
         LOG.log(System.Logger.Level.INFO, successor ? "hands over to a successor" : "has no successor");
-        stopped = successor ? server.handOver(leave, kill - LAST_ANSWER_MS)
-                : server.drain(KEEP_ACCEPTING_MS, leave, kill - LAST_ANSWER_MS);
-        return stopped;
+        Future<Void> drained = successor ? server.handOver(leave, kill - LAST_ANSWER_MS)
+                : server.drain(KEEP_ACCEPTING_MS - behindMs, leave, kill - LAST_ANSWER_MS);
+        drained.addListener(f -> stopped.setSuccess(null));
     }
 
     /** Gives up its place beside a twin. */
--- /dev/null
+++ b/src/main/java/yewyoke/node/Signals.java
@@ -0,0 +1,22 @@
+package yewyoke.node;
+
+import java.lang.reflect.Proxy;
+
+/** What a process is told from outside while it runs. */
+interface Signals {
+    /** From now on runs the body, on a thread of its own, at each signal of the name (without SIG). */
+    void on(String name, Runnable body) throws ReflectiveOperationException;
+
+    /** Those of the system, by reflection: the compiler warns of the class, and warnings are errors here. */
+    static void ofSystem(String name, Runnable body) throws ReflectiveOperationException {
+        Class<?> signal = Class.forName("sun.misc.Signal");
+        Class<?> handler = Class.forName("sun.misc.SignalHandler");
+        Object ours = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                (proxy, method, args) -> {
+                    body.run();
+                    return null;
+                });
+        signal.getMethod("handle", signal, handler)
+                .invoke(null, signal.getConstructor(String.class).newInstance(name), ours);
+    }
+}
--- a/src/test/java/yewyoke/node/OnSockets.java
+++ b/src/test/java/yewyoke/node/OnSockets.java
@@ -89,9 +89,14 @@
 
     /** Starts a balancer that knows a list and follows discovery. */
     void start(String known, Server discovery) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"" + listen + "\",\"discovery\":\""
-                + discovery.addr() + "\",\"seed\":\"8c1f30d27a5be964\","
+        running = node(write(known, discovery));
+        node = running.server();
+    }
+
+    /** Writes the configuration of one. */
+    Path write(String known, Server discovery) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"listen\":\""
+                + listen + "\",\"discovery\":\"" + discovery.addr() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"sockets\":" + sockets + "},"
                 + "\"known\":" + known + ",\"settings\":{\"az\":0,\"localities\":[\"z\"],\"kinds\":[\"k\"],"
                 + "\"classes\":[" + serviceClass("submit", "single_shot") + ","
@@ -102,8 +107,6 @@
                 + idle + "},\"rules\":{\"answer-slack-s\":0.02,\"drain-grace-s\":2,\"cold-s\":9,"
                 + "\"start-capacity\":0.2,\"fall-multiple\":3,\"fall-s\":1},\"report\":{\"names\":[\"cpu\"],"
                 + "\"via\":\"" + reports + "\"},\"prices\":{},\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
-        running = node(file);
-        node = running.server();
     }
 
     /** One more process, as far as others can tell. */
