--- a/src/main/java/yewyoke/faults/VirtualChannel.java
+++ b/src/main/java/yewyoke/faults/VirtualChannel.java
@@ -95,6 +95,13 @@
         }
     }
 
+    /** Delivers at once what lies ready. */
+    void look() {
+        if (end != null && (end.hasBytes() || end.isFinished())) {
+            deliver();
+        }
+    }
+
     private void deliver() {
         delivering = false;
         if (closed || !readPending || end == null) {
@@ -115,6 +122,9 @@
             buffer.writeBytes(bytes);
             pipeline().fireChannelRead(buffer);
             pipeline().fireChannelReadComplete();
+            if (config.isAutoRead() && end.isFinished()) {
+                unsafe().close(voidPromise()); // as on sockets that are read until there is no more
+            }
         } else if (end.isFinished()) {
             streamEnded = true;
             unsafe().close(voidPromise());
