--- a/src/test/java/yewyoke/node/StartCrossingsTest.java
+++ b/src/test/java/yewyoke/node/StartCrossingsTest.java
@@ -134,6 +134,10 @@
             return real().outgoing();
         }
 
+        @Override public void look(Channel channel) {
+            real().look(channel);
+        }
+
         @Override public Listening listening() {
             atListener.run();
             return real().listening();
