Checks of the rare moments: ended processes hear nothing, waiting for a descriptor is counted once

The two allowances that exist for each alone now hold together: accepted, then its time, then half a second. - A client's channel that is read to its end says that it met a FIN; upstreams' channels are read as before.

--- a/src/main/java/yewyoke/faults/Discovery.java
+++ b/src/main/java/yewyoke/faults/Discovery.java
@@ -33,7 +33,7 @@
     private boolean down;
     private Manner manner = Manner.WELL;
     private boolean full;
-    /** Troubles under way in which no call is answered, other than being down, and when the last one ended. */
+    /** Troubles in which no call is answered, other than being down, and when the last one ended. */
     private int outages;
     private long reachableSince;
     /** What it has of those that drain or are gone, and the time from which the clock for each counts. */
@@ -69,9 +69,9 @@
     }
 
     /**
-     * From now on discovery has it that one drains or is gone. Whether or not it arrives, and whatever becomes
-     * of watches and calls, such a word counts as told 6 s after discovery had it and could be reached. For the
-     * time in which it is down nothing is allowed, which is stricter than the operators' words.
+     * From now on discovery has it that one drains or is gone. Whether or not it arrives, and whatever
+     * becomes of watches and calls, such a word counts as told 6 s after discovery had it and could be
+     * reached. For the time in which it is down nothing is allowed, which is stricter than the operators' words.
      */
     private void has(Upstream u, String id) {
         long now = world.timeline.micros();
@@ -146,8 +146,8 @@
     }
 
     /**
-     * Listens at another address from now on, with versions that begin anew there. At the old one watches stay
-     * open and say nothing new any more. What it has by 4 s later counts as told then.
+     * Listens at another address from now on, with versions that begin anew there. At the old one watches
+     * stay open and say nothing new any more. What it has by 4 s later counts as told then.
      */
     void move() {
         world.network.unlisten(address, this);
@@ -328,7 +328,7 @@
         private void note(String id, boolean open) {
             if (open) {
                 world.oracle.toldReady(id);
-            } else if (!host.silent && !end.isClosed()) {
+            } else if (!host.silent && !end.isClosed() && !world.hasEnded(end.other().host())) {
                 world.oracle.toldClosed(id);
             }
         }
--- a/src/main/java/yewyoke/faults/Oracle.java
+++ b/src/main/java/yewyoke/faults/Oracle.java
@@ -74,6 +74,8 @@
     private final Map<String, Long> closedAt = new LinkedHashMap<>();
     /** Until when the process is, or was, short of processor time. */
     private long behindUntil = -1;
+    /** Until when connections wait, or waited, for a descriptor before they are accepted. */
+    private long scarceUntil = -1;
     private final long window;
     private final long grace;
     private final long delay;
@@ -100,12 +102,13 @@
         requests.put(id, seen);
         long patience = timeLeft + ANSWER_SLACK + SLACK + 2 * delay;
         timeline.in(patience + 1, () -> {
-            if (asked <= behindUntil) {
-                timeline.in(LATEST_ANSWER, () -> due(seen)); // the machine accepts, whatever its loop does
-                return;
-            }
             long accepted = connection.other().ownedAt();
-            if (accepted < 0) {
+            if (asked <= behindUntil && (asked > scarceUntil || accepted >= 0 && accepted <= asked)) {
+                timeline.in(LATEST_ANSWER, () -> due(seen)); // the machine accepts, whatever its loop does
+            } else if (asked <= behindUntil && accepted >= 0) {
+                // It waited for a descriptor.
+                timeline.at(accepted + patience + LATEST_ANSWER, () -> due(seen));
+            } else if (accepted < 0) {
                 excused(seen); // never taken
             } else if (accepted > asked) {
                 timeline.at(accepted + patience + 1, () -> due(seen));
@@ -136,6 +139,11 @@
         behindUntil = now ? Long.MAX_VALUE : timeline.micros() + LATEST_ANSWER;
     }
 
+    /** Connections may wait for a descriptor from now on, or there are enough again. */
+    void scarce(boolean now) {
+        scarceUntil = now ? Long.MAX_VALUE : timeline.micros();
+    }
+
     private boolean isBehind() {
         return timeline.micros() <= behindUntil;
     }
--- a/src/main/java/yewyoke/faults/Plan.java
+++ b/src/main/java/yewyoke/faults/Plan.java
@@ -23,7 +23,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     /** One scenario in so many has a process that is short of processor time, about as often as others. */
     private static final int STARVED_IN = 8;
-    /** So long clients ask where lists are in trouble: a drain told 6 s late, and 2 s of grace, show there. */
+    /** So long clients ask where lists are in trouble: a drain told 6 s late shows there. */
     private static final long LISTS_LENGTH_MS = 14_000;
     private static final double LISTS_RATE = 20;
 
--- a/src/main/java/yewyoke/faults/Rester.java
+++ b/src/main/java/yewyoke/faults/Rester.java
@@ -3,8 +3,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * A client that rests until the balancer ends it, and sends a request in that very moment: the two cross. Such
- * a request is lost and asked anew elsewhere; what it may not be is taken.
+ * A client that rests until the balancer ends it, and sends a request in that very moment: the two cross.
+ * Such a request is lost and asked anew elsewhere; what it may not be is taken.
  */
 final class Rester implements End.Owner {
     private final World world;
--- a/src/main/java/yewyoke/faults/Upstream.java
+++ b/src/main/java/yewyoke/faults/Upstream.java
@@ -12,7 +12,8 @@
 final class Upstream implements VirtualNetwork.Listener {
     private static final long SERVICE = 30_000;
     /** What comes from a connection that rests: nothing that could be taken for the answer to a request. */
-    private static final String[] NOISE = {"HTT", "HTTP/1.1 200 OK\r\nContent-Le", "\r\n", "\u0000\u0001\r\n\r\n",
+    private static final String[] NOISE = {"HTT", "HTTP/1.1 200 OK\r\nContent-Le", "\r\n",
+        "\u0000\u0001\r\n\r\n",
         "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"};
     private static final int LONGEST_REST = 300_000;
 
--- a/src/main/java/yewyoke/faults/VirtualChannel.java
+++ b/src/main/java/yewyoke/faults/VirtualChannel.java
@@ -122,8 +122,9 @@
             buffer.writeBytes(bytes);
             pipeline().fireChannelRead(buffer);
             pipeline().fireChannelReadComplete();
-            if (config.isAutoRead() && end.isFinished()) {
-                unsafe().close(voidPromise()); // as on sockets that are read until there is no more
+            if (parent() != null && config.isAutoRead() && end.isFinished()) {
+                streamEnded = true;
+                unsafe().close(voidPromise()); // clients' sockets are read until there is no more
             }
         } else if (end.isFinished()) {
             streamEnded = true;
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -27,6 +27,7 @@
     /** More than a process has descriptors. */
     private static final int IDLERS = SOCKETS + 100;
     private static final long LONGEST_DIAL = 1_500_000;
+    private static final long LONGEST_CROWD = 5_000_000;
     /** After these an attempt that was written whole has reached its upstream whole. */
     private static final Set<Fault.Kind> LOSSLESS = EnumSet.of(Fault.Kind.ERRORS, Fault.Kind.FULL,
             Fault.Kind.SPOILT, Fault.Kind.TWICE, Fault.Kind.INTERIM, Fault.Kind.RELOAD, Fault.Kind.RELOAD_BAD,
@@ -156,14 +157,16 @@
         }
         return "{\"listen\":\"" + text(LISTEN) + "\",\"discovery\":\"" + text(discovery.address)
                 + "\",\"seed\":\"" + Long.toHexString(plan.seed() & 0xFFFF)
-                + "\",\"limits\":{\"sockets\":" + SOCKETS + "},\"known\":{\"version\":0,\"full\":true,\"servers\":["
+                + "\",\"limits\":{\"sockets\":" + SOCKETS
+                + "},\"known\":{\"version\":0,\"full\":true,\"servers\":["
                 + (known == null ? listed : known) + "]},\"settings\":{\"az\":0,"
                 + "\"localities\":[\"z0\",\"z1\"],\"kinds\":[\"k\"],\"group-size\":1,\"classes\":["
                 + cls("lookup", "free", "0.5") + "," + cls("push", "guarded", "0.5") + ","
                 + cls("once", "single_shot", "0.5") + "],\"parties\":[{\"name\":\"acme\",\"share\":1}],"
                 + "\"ceilings\":{\"try-limit\":" + attempts + ",\"cancel\":true,\"may-duplicate\":true,"
                 + "\"probes\":false,\"max-open\":200,\"retry-after\":true,\"max-retry-after-s\":2,"
-                + "\"connect-timeout-s\":" + (plan.has(Fault.Kind.LATE_DIAL) ? "2" : "0.25") + ",\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,"
+                + "\"connect-timeout-s\":" + (plan.has(Fault.Kind.LATE_DIAL) ? "2" : "0.25")
+                + ",\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,"
                 + "\"ask-within-s\":10,\"drain-grace-s\":2,\"cold-s\":3,\"start-capacity\":0.3,"
                 + "\"fall-multiple\":3,\"fall-s\":3},\"report\":{\"names\":[\"cpu\"],\"via\":\"piggyback\"},"
                 + "\"prices\":{},\"tick-s\":0.001,\"discovery\":\"pushed\"}}";
@@ -199,6 +202,11 @@
         return processes.stream().anyMatch(p -> p != of && p.lives());
     }
 
+    /** Whether that process has ended: what is written to it, tells nobody. */
+    boolean hasEnded(Host host) {
+        return processes.stream().anyMatch(p -> p.is(host) && !p.lives());
+    }
+
     /** Whether that process was told to stop a while ago, and another one is there for its clients. */
     boolean hasHandedOver(Host host) {
         return processes.stream().anyMatch(p -> p.is(host) && p.stoppingFor() > 100_000 && !p.stoppedAlone()
@@ -265,8 +273,8 @@
                 u.host.lateDial = (long) (f.size() * LONGEST_DIAL);
                 timeline.in(len, () -> u.host.lateDial = 0);
             }
-            case WATCH_SILENT, WATCH_RESET, DISCOVERY_MUTE, DISCOVERY_FULL, DISCOVERY_BUSY, DISCOVERY_ENDLESS ->
-                    discovery.strike(f);
+            case WATCH_SILENT, WATCH_RESET, DISCOVERY_MUTE, DISCOVERY_FULL, DISCOVERY_BUSY,
+                    DISCOVERY_ENDLESS -> discovery.strike(f);
             case LEAVERS, RUDE, BURST, PIPELINERS, SLOW_READERS, REPEATERS, HASTY, RESTERS, IDLERS ->
                     strikeClients(f, len);
             default -> strikeProcess(f, len);
@@ -311,7 +319,11 @@
             case DESCRIPTORS -> {
                 VirtualTransport t = current().transport;
                 t.descriptorsLeft((int) (f.size() * 10));
-                starve(len, () -> t.descriptorsLeft(-1));
+                oracle.scarce(true);
+                starve(len, () -> {
+                    t.descriptorsLeft(-1);
+                    oracle.scarce(false);
+                });
             }
             case NO_MEMORY -> {
                 ScarceAllocator memory = current().transport.allocator();
@@ -380,6 +392,8 @@
             case IDLERS -> {
                 discovery.down(true);
                 timeline.in(len, () -> discovery.down(false));
+                oracle.scarce(true); // until the balancer has made room, which it does by and by
+                timeline.in(LONGEST_CROWD, () -> oracle.scarce(false));
                 for (int i = 0; i < IDLERS; i++) {
                     timeline.in(i * 200L, () -> network.connect(clients, LISTEN, new Idler()));
                 }
