Upstreams: ask mayBegin, look at idle connections, serve nothing before the last byte

Now Input.isSilent reads one byte without waiting before a connection is taken, and a connection with anything unread is closed. - connect() and isOfUse() compared addresses only: a connection to a process that was told to be replaced at the same address was written to and kept. Each connection now has the incarnation it was dialled for. - keep() did not look at the limit: connections that were busy when it fell stayed beyond it. - A good answer to a request that was not written whole was served. A request begins with its last byte, so that answer was made for another: the attempt ends as never run. - Interim answers and blank lines without end kept the loop at work until the attempt's time was up.

Tried and found right as it was: FIN or reset under a request held up by a full window (never ran), drain, gone or move under it (goes on), reset behind a whole answer (served), abandon while dialling, in the turn of the connect and under a held-up body, no descriptor for a socket; the count of connections after each.

--- a/src/main/java/yewyoke/exchange/Back.java
+++ b/src/main/java/yewyoke/exchange/Back.java
@@ -6,8 +6,8 @@
 /** The side towards upstreams: connections, and the attempts on them, in whatever protocol they speak. */
 public interface Back {
     /**
-     * Starts an attempt. The listener is never called from within this call, so that the caller has the
-     * attempt in hand before its end.
+     * Starts an attempt. The listener is never told of its end from within this call, so that the caller has
+     * the attempt in hand by then; but it may be asked whether to begin, and told that all is written.
      */
     Attempt start(String upstream, Head head, Body body, Listener listener);
 
--- a/src/main/java/yewyoke/faults/VirtualChannel.java
+++ b/src/main/java/yewyoke/faults/VirtualChannel.java
@@ -20,10 +20,10 @@
 import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import yewyoke.transport.EndOfStream;
+import yewyoke.transport.Input;
 
 /** A connection of the balancer over the virtual network, for Netty. */
-final class VirtualChannel extends AbstractChannel implements DuplexChannel, EndOfStream, End.Owner {
+final class VirtualChannel extends AbstractChannel implements DuplexChannel, Input, End.Owner {
     private static final ChannelMetadata METADATA = new ChannelMetadata(false);
     private static final int READ = 16 * 1024;
 
@@ -253,6 +253,10 @@
         return streamEnded;
     }
 
+    @Override public boolean isSilent() {
+        return !closed && !end.isClosed() && !end.hasBytes() && !end.isFinished();
+    }
+
     // ---- Half closing --------------------------------------------------------------------------------
 
     @Override public boolean isInputShutdown() {
--- a/src/main/java/yewyoke/http1/upstream/Upstreams.java
+++ b/src/main/java/yewyoke/http1/upstream/Upstreams.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
@@ -45,7 +46,7 @@
 import yewyoke.exchange.Field;
 import yewyoke.exchange.Head;
 import yewyoke.exchange.ServerList;
-import yewyoke.transport.EndOfStream;
+import yewyoke.transport.Input;
 import yewyoke.transport.Transport;
 
 /**
@@ -92,8 +93,8 @@
     /** Takes over a channel that leads to an upstream as an idle connection to it. */
     public void adopt(String id, Channel channel) {
         prepare(channel);
-        Connection connection = new Connection(servers.get(id), channel);
-        connection.keep();
+        Server server = servers.get(id);
+        new Connection(server, server.incarnation, channel).keep();
     }
 
     /** One upstream: where it is, and its idle connections, the last used first. */
@@ -101,6 +102,8 @@
         InetSocketAddress addr;
         boolean ready;
         long startedMs;
+        /** Counts the processes that have been there, one after the other, as far as lists have told. */
+        int incarnation;
         final Deque<Connection> idle = new ArrayDeque<>();
     }
 
@@ -122,6 +125,7 @@
             server.addr = e.addr();
             server.startedMs = e.startedMs();
             server.ready = e.state() == State.READY;
+            server.incarnation += replaced ? 1 : 0;
             if (replaced || !server.ready) {
                 closeIdle(server);
             }
@@ -183,7 +187,7 @@
         }
         Connection connection = idle(server);
         if (connection != null) {
-            exchange.write(connection);
+            begin(exchange, connection);
         } else if (connections >= maxConnections && !closeOldestIdle()) {
             loop.execute(() -> exchange.end(Outcome.CONNECT_FAILED, null));
         } else {
@@ -212,7 +216,8 @@
     private Connection idle(Server server) {
         long now = transport.nanoTime();
         for (Connection c = server.idle.poll(); c != null; c = server.idle.poll()) {
-            if (c.channel.isActive() && now - c.idleSince < idleNanos) {
+            // What lies unread in the kernel would be taken for the answer, or the request meets a dead end.
+            if (c.channel.isActive() && now - c.idleSince < idleNanos && Input.isSilent(c.channel)) {
                 return c;
             }
             c.channel.close();
@@ -243,27 +248,39 @@
             return;
         }
         connections++;
+        int incarnation = server.incarnation;
         exchange.channel = connecting.channel();
         connecting.channel().closeFuture().addListener(f -> connections--);
         connecting.addListener(f -> {
             // The list may have changed meanwhile: nothing new goes to an upstream that drains or has moved.
-            if (!f.isSuccess() || exchange.ended || !server.ready
-                    || !server.addr.equals(connecting.channel().remoteAddress())) {
+            if (!f.isSuccess() || exchange.ended || !server.ready || server.incarnation != incarnation) {
                 connecting.channel().close();
                 exchange.end(Outcome.CONNECT_FAILED, null);
                 return;
             }
-            exchange.write(new Connection(server, connecting.channel()));
+            begin(exchange, new Connection(server, incarnation, connecting.channel()));
         });
     }
 
+    /** On a connection that is up: the request goes out, or the connection stays for another. */
+    private void begin(Exchange exchange, Connection connection) {
+        if (exchange.listener.mayBegin() && !exchange.ended) {
+            exchange.write(connection);
+        } else {
+            connection.keepOrClose();
+            // Never from within start().
+            loop.execute(() -> exchange.end(Outcome.CONNECT_FAILED, null));
+        }
+    }
+
     /** One request on its way to an upstream, up to its one end. */
     private final class Exchange implements Attempt, Body.Sink {
         private final HttpRequest head;
         private final Body body;
         private final Listener listener;
         private Channel channel;
-        private boolean written;
+        /** The write of the request's last byte; null before. Its listeners may hear of it a turn late. */
+        private ChannelPromise last;
         private boolean ended;
 
         private Exchange(HttpRequest head, Body body, Listener listener) {
@@ -291,9 +308,9 @@
         }
 
         private void last(Object message) {
-            channel.writeAndFlush(message).addListener(f -> {
-                written = f.isSuccess();
-                if (written) {
+            last = channel.newPromise();
+            channel.writeAndFlush(message, last).addListener(f -> {
+                if (f.isSuccess()) {
                     listener.written();
                 } else {
                     broken();
@@ -313,12 +330,21 @@
             return channel.isWritable();
         }
 
-        /** The connection is lost. Before the last byte was written the upstream can't have begun. */
+        private boolean isWritten() {
+            return last != null && last.isSuccess();
+        }
+
+        /** What the loss of the connection means: before its last byte an upstream can't begin a request. */
+        private Outcome lost() {
+            return isWritten() ? Outcome.RESET : Outcome.CONNECT_FAILED;
+        }
+
+        /** The connection is lost. */
         private void broken() {
+            Outcome outcome = lost();
             channel.close();
-            boolean mayHaveRun = written;
             // Never from within start(): a write can fail at once.
-            loop.execute(() -> end(mayHaveRun ? Outcome.RESET : Outcome.CONNECT_FAILED, null));
+            loop.execute(() -> end(outcome, null));
         }
 
         /** The socket is closed before this returns. */
@@ -342,6 +368,7 @@
     /** A connection that is up. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Server server;
+        private final int incarnation;
         private final Channel channel;
         private final AnswerDecoder decoder;
         private Exchange current;
@@ -354,10 +381,11 @@
         private long cameAt;
         /** The answer is whole; it is handed on when the read that brought it has ended. */
         private boolean whole;
-        private long idleSince;
+        private long idleSince = transport.nanoTime();
 
-        Connection(Server server, Channel channel) {
+        Connection(Server server, int incarnation, Channel channel) {
             this.server = server;
+            this.incarnation = incarnation;
             this.channel = channel;
             this.decoder = channel.pipeline().get(AnswerDecoder.class);
             channel.pipeline().addLast(this);
@@ -382,11 +410,16 @@
         private boolean begin(HttpResponse response) {
             interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             head = interim ? null : response;
+            if (!interim && response.status().code() == OK && !current.isWritten()) {
+                return false; // A request begins with its last byte: this was made for another.
+            }
             if (!interim) {
+                decoder.begun();
                 current.listener.began();
             }
             try {
-                return response.protocolVersion().majorVersion() == 1 && response.status().code() != SWITCHING
+                return response.protocolVersion().majorVersion() == 1
+                        && response.status().code() != SWITCHING
                         && HttpUtil.getContentLength(response, -1L) <= Body.MOST;
             } catch (NumberFormatException e) {
                 return false;
@@ -421,12 +454,12 @@
         }
 
         /**
-         * With neither a length nor chunks an answer ends with its connection, whatever that connection was to
-         * be kept for (RFC 9112, 6.3), and only a FIN is such an end.
+         * With neither a length nor chunks an answer ends with its connection, were that to be kept or not
+         * (RFC 9112, 6.3), and only a FIN is such an end.
          */
         private boolean endsWithItsConnection() {
             return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)
-                    && EndOfStream.of(channel);
+                    && Input.hasEnded(channel);
         }
 
         private void hold(ByteBuf bytes) {
@@ -466,7 +499,7 @@
         }
 
         private void spoilt() {
-            end(Outcome.RESET);
+            end(current.lost());
         }
 
         /** The exchange ends without a whole answer, and with it the connection. */
@@ -502,11 +535,12 @@
             came = 0;
             download = null;
             whole = false;
-            if (exchange.written && !decoder.surplus() && HttpUtil.isKeepAlive(answer) && isOfUse()) {
+            idleSince = transport.nanoTime();
+            if (exchange.isWritten() && !decoder.surplus() && HttpUtil.isKeepAlive(answer) && isOfUse()) {
                 if (passed == null) {
                     keep();
                 } else {
-                    loop.schedule(this::keepIfSilent, REST_MS, TimeUnit.MILLISECONDS);
+                    loop.schedule(this::keepOrClose, REST_MS, TimeUnit.MILLISECONDS);
                 }
             } else {
                 channel.close();
@@ -518,10 +552,11 @@
         }
 
         private boolean isOfUse() {
-            return server.ready && channel.isActive() && server.addr.equals(channel.remoteAddress());
+            return server.ready && channel.isActive() && server.incarnation == incarnation
+                    && connections <= maxConnections;
         }
 
-        private void keepIfSilent() {
+        private void keepOrClose() {
             if (isOfUse() && !decoder.surplus()) {
                 keep();
             } else {
@@ -531,7 +566,6 @@
 
         private void keep() {
             channel.config().setAutoRead(true);
-            idleSince = transport.nanoTime();
             server.idle.push(this);
         }
 
--- a/src/main/java/yewyoke/transport/OutgoingSocket.java
+++ b/src/main/java/yewyoke/transport/OutgoingSocket.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 
 /** A socket for a connection that we open. */
-final class OutgoingSocket extends NioSocketChannel implements EndOfStream {
+final class OutgoingSocket extends NioSocketChannel implements Input {
     private boolean ended;
 
     /** A reset makes the read throw instead; a write that fails closes the channel with no further read. */
@@ -17,4 +19,12 @@
     @Override public boolean hasEnded() {
         return ended;
     }
+
+    @Override public boolean isSilent() {
+        try {
+            return javaChannel().read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false; // reset or closed
+        }
+    }
 }
--- a/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
+++ b/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
@@ -5,9 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -15,9 +19,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import yewyoke.Balancer.Outcome;
@@ -32,7 +38,9 @@
 import yewyoke.faults.process.peer.Sockets.Script;
 import yewyoke.faults.process.peer.Sockets.Server;
 import yewyoke.http1.upstream.Upstreams;
+import yewyoke.transport.Listening;
 import yewyoke.transport.SocketTransport;
+import yewyoke.transport.Transport;
 
 /** A request or its answer meets the end of an upstream's connection. */
 class UpstreamCrossingsTest extends OnSockets {
@@ -58,6 +66,11 @@
     private enum End {
         FIN, RST;
 
+        /** The end of a head with which each was taken for the other. */
+        String field() {
+            return (this == FIN ? "" : "Connection: close\r\n") + "\r\n";
+        }
+
         void of(Socket socket) throws IOException {
             if (this == FIN) {
                 socket.shutdownOutput();
@@ -92,22 +105,38 @@
         }
     }
 
-    private void listed(Server... servers) throws Exception {
-        List<ServerList.Entry> entries = new ArrayList<>();
-        for (Server s : servers) {
-            int colon = s.addr().indexOf(':');
-            entries.add(new ServerList.Entry("s" + entries.size(), new InetSocketAddress(
-                    s.addr().substring(0, colon), Integer.parseInt(s.addr().substring(colon + 1))), "z", "k",
-                    0, State.READY, 1, 0));
-        }
-        loop.submit(() -> upstreams.apply(new ServerList(1, true, entries))).get();
+    /** One upstream at a port of loopback. */
+    private static ServerList at(int port, State state, long startedMs) {
+        return new ServerList(1, state != State.GONE, List.of(new ServerList.Entry("s0",
+                new InetSocketAddress("127.0.0.1", port), "z", "k", 0, state, 1, startedMs)));
+    }
+
+    private static int port(Server server) {
+        return Integer.parseInt(server.addr().substring(server.addr().indexOf(':') + 1));
+    }
+
+    private Server listed(Server server) throws Exception {
+        inLoop(() -> upstreams.apply(at(port(server), State.READY, 0)));
+        return server;
+    }
+
+    private void inLoop(Runnable what) throws Exception {
+        loop.submit(what).get();
     }
 
     /** One attempt, and what it hears. */
     private final class Heard implements Back.Listener, Download {
         final BlockingQueue<String> events = new LinkedBlockingQueue<>();
         final StringBuffer large = new StringBuffer();
+        volatile boolean may = true;
+        volatile int asked;
         Back.Attempt attempt;
+        Body body;
+
+        @Override public boolean mayBegin() {
+            asked++;
+            return may;
+        }
 
         @Override public void written() {
             events.add("written");
@@ -149,16 +178,24 @@
         /** And nothing more, also not in the turn behind. */
         void hearsLast(String... expected) throws Exception {
             hears(expected);
-            loop.submit(() -> { }).get();
+            inLoop(() -> { });
             assertEquals(List.of(), List.copyOf(events));
         }
+
+        /** In the loop. */
+        Heard starts(Body body) {
+            attempt = upstreams.start("s0", new Head("POST", "/x", "app.svc", true, List.of()), body, this);
+            assertTrue(events.stream().allMatch("written"::equals), "told of its end from within the call");
+            return this;
+        }
+
+        void isServed() throws Exception {
+            hearsLast("written", "began", "OK done");
+        }
     }
 
     private Heard ask(Body body) throws Exception {
-        Heard heard = new Heard();
-        Head head = new Head("POST", "/x", "app.svc", true, List.of());
-        heard.attempt = loop.submit(() -> upstreams.start("s0", head, body, heard)).get();
-        return heard;
+        return loop.submit(() -> new Heard().starts(body)).get();
     }
 
     private Heard ask() throws Exception {
@@ -235,6 +272,14 @@
         attempt.hearsLast(heard);
     }
 
+    /** The reset comes behind all bytes, and what was whole before it is served. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void wholeAnswerIsServedWhateverComesBehindIt(End end) throws Exception {
+        atOnce(end, OK + "Content-Length: 5\r\n\r\nwhole", "began", "OK whole");
+        atOnce(end, OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "began", "OK whole");
+    }
+
     /** Its client has got the beginning by then, and learns that this is not all. */
     @ParameterizedTest
     @EnumSource(End.class)
@@ -242,7 +287,7 @@
         CountDownLatch passed = new CountDownLatch(1);
         String text = "x".repeat(2 * Body.SMALL);
         listed(server((m, s) -> {
-            write(s, OK + "\r\n" + text);
+            write(s, OK + end.field() + text);
             passed.await();
             end.of(s);
         }));
@@ -279,7 +324,7 @@
     void clientOfALargeAnswerCanTellWhetherItIsWhole(End end) throws Exception {
         CountDownLatch begun = new CountDownLatch(1);
         start(server((m, s) -> {
-            write(s, OK + "\r\n" + "x".repeat(2 * Body.SMALL));
+            write(s, OK + end.field() + "x".repeat(2 * Body.SMALL));
             begun.await();
             end.of(s);
         }));
@@ -293,4 +338,394 @@
             assertFalse(all.endsWith("\r\n0\r\n\r\n"));
         }
     }
+
+    // ---- Before the first byte -----------------------------------------------------------------------
+
+    /** On a connection that stands idle: it stays so, for the next one. */
+    @Test
+    void attemptThatMayNoLongerBeginLeavesTheIdleConnectionAsItIs() throws Exception {
+        Server server = listed(server(SERVE));
+        ask().isServed();
+        Heard late = loop.submit(() -> {
+            Heard heard = new Heard();
+            heard.may = false;
+            return heard.starts(Body.empty());
+        }).get();
+        late.hearsLast("CONNECT_FAILED");
+        assertEquals(1, late.asked);
+        ask().isServed();
+        assertEquals(2, server.requests.size());
+        assertEquals(1, server.accepted.size());
+    }
+
+    /** While it is dialled the window closes; the new connection is kept for another. */
+    @Test
+    void attemptIsAskedOnceItsConnectionIsUp() throws Exception {
+        Server server = listed(server(SERVE));
+        Heard late = loop.submit(() -> {
+            Heard heard = new Heard().starts(Body.empty());
+            heard.may = false; // nothing dialled is up before the next turn
+            return heard;
+        }).get();
+        late.hearsLast("CONNECT_FAILED");
+        assertEquals(1, late.asked);
+        ask().isServed();
+        assertEquals(1, server.requests.size());
+        assertEquals(1, server.accepted.size());
+    }
+
+    private enum Change {
+        DRAINS, GONE, RESTARTED, MOVED
+    }
+
+    private ServerList told(Change change, int port) {
+        return switch (change) {
+            case DRAINS -> at(port, State.DRAINING, 0);
+            case GONE -> at(port, State.GONE, 0);
+            case RESTARTED -> at(port, State.READY, 5);
+            case MOVED -> at(port + 1, State.READY, 0);
+        };
+    }
+
+    /** The list changes between the decision and the first byte. */
+    @ParameterizedTest
+    @EnumSource(Change.class)
+    void nothingGoesToAnUpstreamThatChangesWhileItIsDialled(Change change) throws Exception {
+        Server server = server(SERVE);
+        listed(server);
+        inLoop(() -> upstreams.limit(1));
+        Heard heard = loop.submit(() -> {
+            Heard dialling = new Heard().starts(Body.empty());
+            upstreams.apply(told(change, port(server)));
+            return dialling;
+        }).get();
+        heard.hearsLast("CONNECT_FAILED");
+        assertEquals(0, heard.asked);
+        listed(server);
+        ask().isServed();
+        assertEquals(1, server.requests.size());
+    }
+
+    /** The list changes while the request is out: it goes on, but its connection is no other's. */
+    @ParameterizedTest
+    @EnumSource(Change.class)
+    void connectionToAProcessThatIsNoMoreIsNotKept(Change change) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server server = server((m, s) -> {
+            go.await();
+            SERVE.on(m, s);
+        });
+        listed(server);
+        Heard heard = ask();
+        heard.hears("written");
+        inLoop(() -> upstreams.apply(told(change, port(server))));
+        go.countDown();
+        heard.hearsLast("began", "OK done");
+        assertEquals(0, Sockets.next(server.ended));
+    }
+
+    // ---- Idle connections ----------------------------------------------------------------------------
+
+    private interface Deed {
+        void on(Socket socket) throws IOException;
+    }
+
+    private enum Unread {
+        HALF_A_LINE(s -> write(s, "HTTP/1.1 200 O")), ANSWER(s -> Sockets.answer(s, "200 OK", "", "stray")),
+        BLANK(s -> write(s, "\r\n")), CLOSE(End.FIN::of), RESET(End.RST::of);
+
+        final Deed deed;
+
+        Unread(Deed deed) {
+            this.deed = deed;
+        }
+    }
+
+    /** It lies in the kernel when the connection is taken: it was served, or failed the request. */
+    @ParameterizedTest
+    @EnumSource(Unread.class)
+    void connectionWithSomethingUnreadIsNotTaken(Unread unread) throws Exception {
+        Server server = listed(server(SERVE));
+        inLoop(() -> upstreams.limit(1));
+        ask().isServed();
+        BlockingQueue<Heard> next = new LinkedBlockingQueue<>();
+        inOneTurn(() -> {
+            unread.deed.on(server.accepted.get(0));
+            loop.execute(() -> next.add(new Heard().starts(Body.empty())));
+        });
+        Sockets.next(next).isServed();
+        assertEquals(2, server.requests.size());
+        assertEquals(2, server.accepted.size());
+    }
+
+    /** Those that were busy when the limit fell are closed as they become idle. */
+    @Test
+    void connectionBeyondALimitThatFellMeanwhileIsNotKept() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server server = listed(server((m, s) -> {
+            go.await();
+            SERVE.on(m, s);
+        }));
+        Heard one = ask();
+        Heard two = ask();
+        one.hears("written");
+        two.hears("written");
+        inLoop(() -> upstreams.limit(1));
+        go.countDown();
+        one.hearsLast("began", "OK done");
+        two.hearsLast("began", "OK done");
+        Sockets.next(server.ended);
+        ask().isServed();
+        assertEquals(2, server.accepted.size(), "the other one was kept");
+    }
+
+    // ---- What comes before an answer -----------------------------------------------------------------
+
+    /** It kept the loop at work until the attempt's time was up. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 100 Continue\r\n\r\n", "\r\n"})
+    void interimAnswersWithoutEndAreSpoilt(String again) throws Exception {
+        Server server = listed(server((m, s) -> {
+            while (true) {
+                write(s, again.repeat(100));
+            }
+        }));
+        ask().hearsLast("written", "RESET");
+        assertEquals(0, Sockets.next(server.ended));
+    }
+
+    @Test
+    void someInterimAnswersArePassedOver() throws Exception {
+        listed(server((m, s) -> {
+            write(s, "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n".repeat(50));
+            SERVE.on(m, s);
+        }));
+        ask().isServed();
+        ask().isServed();
+    }
+
+    // ---- Requests that are held up on their way ------------------------------------------------------
+
+    /** Far more than sockets hold for a reader that takes nothing. */
+    private static final int HELD_UP = 24 << 20;
+
+    /** An upstream by hand: nothing is read or written but by the test. */
+    private static final class Peer implements AutoCloseable {
+        final ServerSocket listening = new ServerSocket();
+        private Socket socket;
+
+        Peer() throws IOException {
+            listening.setReceiveBufferSize(4096);
+            listening.bind(new InetSocketAddress("127.0.0.1", 0));
+        }
+
+        /** Accepts, and reads the head of the request. */
+        Socket socket() throws IOException {
+            if (socket == null) {
+                socket = listening.accept();
+                socket.setSoTimeout(Sockets.PATIENCE_S * 1_000);
+                for (int end = 0; end < 4;) {
+                    end = socket.getInputStream().read() == "\r\n\r\n".charAt(end) ? end + 1 : 0;
+                }
+            }
+            return socket;
+        }
+
+        @Override public void close() throws IOException {
+            listening.close();
+            if (socket != null) {
+                socket.close();
+            }
+        }
+    }
+
+    /** In the loop: a request whose last byte can't be written before the peer reads. */
+    private Heard startsHeldUp(boolean ended) {
+        Body body = new Body(HELD_UP, System::nanoTime, () -> { });
+        Heard heard = new Heard();
+        heard.body = body;
+        body.add(Unpooled.wrappedBuffer(new byte[HELD_UP - 1]));
+        heard.starts(body);
+        if (ended) {
+            body.add(Unpooled.wrappedBuffer(new byte[1]));
+            body.end();
+        }
+        return heard;
+    }
+
+    private Heard heldUp(Peer peer, boolean ended) throws Exception {
+        inLoop(() -> {
+            upstreams.limit(1);
+            upstreams.apply(at(peer.listening.getLocalPort(), State.READY, 0));
+        });
+        Heard heard = loop.submit(() -> startsHeldUp(ended)).get();
+        peer.socket();
+        inLoop(() -> { });
+        assertEquals(List.of(), List.copyOf(heard.events));
+        return heard;
+    }
+
+    /** The count of connections is right behind it: there may be one. */
+    private void nextIsServed() throws Exception {
+        listed(server(SERVE));
+        ask().isServed();
+    }
+
+    /** However much of it is on its way, it can't have begun without its last byte. */
+    @ParameterizedTest
+    @CsvSource({"FIN,true", "RST,true", "FIN,false", "RST,false"})
+    void requestThatWasNotWrittenWholeHasNotRun(End end, boolean ended) throws Exception {
+        try (Peer peer = new Peer()) {
+            Heard heard = heldUp(peer, ended);
+            end.of(peer.socket());
+            heard.hearsLast("CONNECT_FAILED");
+            nextIsServed();
+        }
+    }
+
+    /** Drained, gone or moved: what has begun goes on. */
+    @ParameterizedTest
+    @EnumSource(Change.class)
+    void requestThatIsPartlyWrittenGoesOnWhateverTheListSays(Change change) throws Exception {
+        try (Peer peer = new Peer()) {
+            Heard heard = heldUp(peer, true);
+            inLoop(() -> upstreams.apply(told(change, peer.listening.getLocalPort())));
+            peer.socket().getInputStream().skipNBytes(HELD_UP);
+            heard.hears("written");
+            SERVE.on(null, peer.socket());
+            heard.hearsLast("began", "OK done");
+            nextIsServed();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void requestThatWasWrittenWholeMayHaveRun(End end) throws Exception {
+        try (Peer peer = new Peer()) {
+            Heard heard = heldUp(peer, true);
+            peer.socket().getInputStream().skipNBytes(HELD_UP);
+            heard.hears("written");
+            end.of(peer.socket());
+            heard.hearsLast("RESET");
+            nextIsServed();
+        }
+    }
+
+    /** A request begins with its last byte: what is good before that was made for another. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5\r\n\r\nstray", "Content-Length: 200000\r\n\r\nstray",
+        "Content-Length: x\r\n\r\n", "\r\nstray"})
+    void goodAnswerToARequestNotYetWrittenIsNotServed(String rest) throws Exception {
+        try (Peer peer = new Peer()) {
+            Heard heard = heldUp(peer, true);
+            write(peer.socket(), OK + rest);
+            heard.hearsLast("CONNECT_FAILED");
+            nextIsServed();
+        }
+    }
+
+    @Test
+    void requestThatIsTurnedAwayBeforeItIsWrittenIsTurnedAway() throws Exception {
+        try (Peer peer = new Peer()) {
+            Heard heard = heldUp(peer, true);
+            Sockets.answer(peer.socket(), "503 Service Unavailable", "X-Unprocessed: 1\r\n", "");
+            heard.hearsLast("began", "FULL ");
+            nextIsServed();
+        }
+    }
+
+    /** Nothing more of it is written, in whatever order the end of its body comes. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void abandonedRequestIsNotWrittenOn(boolean ended) throws Exception {
+        try (Peer peer = new Peer()) {
+            Heard heard = heldUp(peer, ended);
+            inLoop(() -> {
+                heard.attempt.abandon();
+                if (!ended) {
+                    heard.body.add(Unpooled.wrappedBuffer(new byte[1]));
+                    heard.body.end();
+                }
+            });
+            int came = 0;
+            byte[] piece = new byte[64 * 1024];
+            for (int n = peer.socket().getInputStream().read(piece); n > 0;) {
+                came += n;
+                n = peer.socket().getInputStream().read(piece);
+            }
+            assertTrue(came < HELD_UP, "it was written whole");
+            heard.hearsLast();
+            nextIsServed();
+        }
+    }
+
+    /** Abandoned while its connection is dialled, before and in the turn in which that is up. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void abandonedRequestIsNotBegun(boolean atOnce) throws Exception {
+        Server server = listed(server(SERVE));
+        inLoop(() -> upstreams.limit(1));
+        Heard heard = loop.submit(() -> {
+            Heard dialling = new Heard().starts(Body.empty());
+            if (atOnce) {
+                dialling.attempt.abandon();
+            } else {
+                loop.execute(dialling.attempt::abandon); // behind the turn that connects
+            }
+            return dialling;
+        }).get();
+        inLoop(() -> { });
+        heard.hearsLast();
+        assertEquals(0, heard.asked);
+        ask().isServed();
+        assertEquals(1, server.requests.size());
+    }
+
+    /** There is no descriptor for a socket: that attempt fails, and takes no place. */
+    @Test
+    void attemptWithNoSocketFailsAndTakesNoPlace() throws Exception {
+        boolean[] full = {true};
+        Transport real = new SocketTransport(loop);
+        upstreams = loop.submit(() -> new Upstreams(new Scarce(real, full), 5_000_000, IDLE_MICROS, 1)).get();
+        listed(server(SERVE));
+        for (int i = 0; i < 3; i++) {
+            ask().hearsLast("CONNECT_FAILED");
+        }
+        inLoop(() -> full[0] = false);
+        ask().isServed();
+    }
+
+    /** Sockets as long as there is a descriptor for one. */
+    private record Scarce(Transport real, boolean[] full) implements Transport {
+        @Override public EventLoop loop() {
+            return real.loop();
+        }
+
+        @Override public long nanoTime() {
+            return real.nanoTime();
+        }
+
+        @Override public long wallMillis() {
+            return real.wallMillis();
+        }
+
+        @Override public RandomGenerator random() {
+            return real.random();
+        }
+
+        @Override public Channel outgoing() {
+            if (full[0]) {
+                throw new ChannelException("no socket", new IOException("Too many open files"));
+            }
+            return real.outgoing();
+        }
+
+        @Override public Listening listening() {
+            return real.listening();
+        }
+
+        @Override public Listening listeningAlone() {
+            return real.listeningAlone();
+        }
+    }
 }
