Upstreams: split into pool, dialler, exchange, connection and reading of an answer

Now Server is what the list says of one upstream, Pool keeps idle connections and alone counts all, Dialler opens them, Exchange is a request with its stages (waiting, dialling, begun, ended), Connection carries one at a time, AnswerReader is the answer with its states (awaited, held, streamed, whole, spoilt, unwanted). Upstreams itself is the list and the start of an attempt. Constructors and public methods stay.

One change with it: an attempt that may not begin leaves its connection, and one that is over closes none.

--- /dev/null
+++ b/src/main/java/yewyoke/http1/upstream/Dialler.java
@@ -0,0 +1,61 @@
+package yewyoke.http1.upstream;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.concurrent.TimeUnit;
+import yewyoke.Balancer.Outcome;
+import yewyoke.transport.Transport;
+
+/** Opens connections to upstreams. */
+final class Dialler {
+    private final Transport transport;
+    private final Pool pool;
+    private int timeoutMs;
+
+    Dialler(Transport transport, Pool pool) {
+        this.transport = transport;
+        this.pool = pool;
+    }
+
+    /** So long a connection may take to come up; microseconds, at least one millisecond. */
+    void timeout(long micros) {
+        timeoutMs = (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(micros));
+    }
+
+    /** Dials for a request, which goes out once the connection is up. */
+    void dial(Server server, Exchange exchange) {
+        ChannelFuture connecting;
+        try {
+            connecting = transport.connect(server.addr(), timeoutMs, Dialler::prepare);
+        } catch (ChannelException e) {
+            exchange.endLater(Outcome.CONNECT_FAILED); // out of descriptors
+            return;
+        }
+        Channel channel = connecting.channel();
+        pool.opened(channel);
+        exchange.dialled(channel);
+        int incarnation = server.incarnation();
+        connecting.addListener(f -> {
+            // The list may have changed meanwhile: nothing new goes to an upstream that drains or has moved.
+            if (f.isSuccess() && !exchange.isEnded() && server.takes(incarnation)) {
+                exchange.begin(new Connection(transport, pool, server, incarnation, channel));
+            } else {
+                channel.close();
+                exchange.end(Outcome.CONNECT_FAILED, null);
+            }
+        });
+    }
+
+    /** An idle connection on a channel that is up already. */
+    void adopt(Server server, Channel channel) {
+        prepare(channel);
+        pool.release(new Connection(transport, pool, server, server.incarnation(), channel));
+    }
+
+    private static void prepare(Channel channel) {
+        channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
+        channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder());
+    }
+}
--- a/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
+++ b/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
@@ -130,11 +130,13 @@
         final StringBuffer large = new StringBuffer();
         volatile boolean may = true;
         volatile int asked;
+        Runnable whenAsked = () -> { };
         Back.Attempt attempt;
         Body body;
 
         @Override public boolean mayBegin() {
             asked++;
+            whenAsked.run();
             return may;
         }
 
@@ -374,6 +376,25 @@
         assertEquals(1, server.accepted.size());
     }
 
+    /** Given up before it has heard of its end, when the connection that it left is another's already. */
+    @Test
+    void attemptThatDidNotBeginClosesNoConnectionOfAnother() throws Exception {
+        Server server = listed(server(SERVE));
+        BlockingQueue<Heard> next = new LinkedBlockingQueue<>();
+        Heard late = loop.submit(() -> {
+            Heard heard = new Heard();
+            heard.may = false;
+            heard.whenAsked = () -> loop.execute(() -> {
+                next.add(new Heard().starts(Body.empty()));
+                heard.attempt.abandon();
+            });
+            return heard.starts(Body.empty());
+        }).get();
+        Sockets.next(next).isServed();
+        late.hearsLast();
+        assertEquals(1, server.accepted.size());
+    }
+
     private enum Change {
         DRAINS, GONE, RESTARTED, MOVED
     }
