A stop is a Drain with phases; half-closes, half requests, late requests, a successor that goes

Seen with StopCrossingsTest on loopback sockets: - ClientServer.closeIdle closed what was silent, half requests included, at once and over unread bytes: a request that lay unread or came after was met with a reset (client: broken pipe). - Driver.failAll answered what was open, but what was read later was sent on to upstreams, with nobody to answer it in time. A large answer that it cut off was concluded with its attempt and its client never told: the connection hung (read timed out after 20 s), and with it the exit. - Node.stop took a process that merely lives, and waits for its list, for a successor, and closed the listener at once; a successor that died afterwards left nobody to connect to, and clients were told to connect anew. - "stopping" was said only once the loop came to it. Settings that arrived within the stop changed no time of it.

Now Drain leads through ACCEPTING, KEEPING, ENDING, ANSWERED, CLOSED; no step is taken back or left out, the sooner of two times holds. Resting connections end by half-close, and the process waits for their clients' FIN up to CLOSED; half requests may become whole up to the last answers, then get 408; what is read after those is failed at once. LockTwin tells who lets clients in by a second byte of the lock file, asked every 100 ms; if the successor goes before new connections have ceased, the address is taken again (it is free, or shared by SO_REUSEPORT). By a reload the stop goes by the shorter deadlines also for older requests, since SIGKILL may. Session: retire ends by half-close, makeWay (for room) closes.

--- a/src/main/java/yewyoke/exchange/Driver.java
+++ b/src/main/java/yewyoke/exchange/Driver.java
@@ -55,6 +55,8 @@
     private final Lateness lateness;
     private Directory discovery;
     private boolean inEvent;
+    /** Whether the last answers are given, and nothing is sent any more. */
+    private boolean closed;
     private volatile boolean ready;
 
     /**
@@ -204,6 +206,12 @@
         String className = facts.classes().get(request.classIndex());
         long left = request.timeLeft() + (body.isEnded() ? 0 : LONGEST_BODY_MS * 1_000);
         Open o = new Open(request, className, facts.settings(), head, body, client, now() + left);
+        if (closed) {
+            body.release();
+            count(o, Ending.BAD_GATEWAY);
+            client.failed();
+            return;
+        }
         int most = o.limits.maxOpen();
         boolean over = left <= 0; // read too late: nobody waits for an answer any more
         if (over || most > 0 && open.size() >= most) {
@@ -275,7 +283,11 @@
 
     /** At the deadline: ends what is out, and answers if the module, told of that, does not. */
     private void overdue(Open o) {
+        boolean cutShort = o.streaming && !o.concluded;
         endAll(o, Outcome.TIMEOUT);
+        if (cutShort) {
+            o.client.end(false); // concluded with its attempt, which was given up and tells nobody
+        }
         event(() -> {
             if (!o.concluded) {
                 conclude(o, Ending.BAD_GATEWAY);
@@ -295,8 +307,9 @@
         }
     }
 
-    /** A planned stop has run out of time: whatever is still open gets its answer while it can. */
+    /** A planned stop has run out of time: what is open, or comes later, gets its answer while it can. */
     public void failAll() {
+        closed = true;
         for (Open o : List.copyOf(open.values())) {
             o.deadline = now(); // or the module, told that the attempt is over, would send another
             overdue(o);
@@ -331,7 +344,7 @@
     @Override public void send(String id, String upstream, long timeout) {
         long now = now();
         Open o = open.get(id);
-        if (o == null || o.concluded || o.attempts.size() >= o.limits.maxAttempts() || o.deadline <= now
+        if (closed || o == null || o.concluded || o.attempts.size() >= o.limits.maxAttempts() || o.deadline <= now
                 || o.outstanding() && !o.limits.secondCopies() || !o.body.isWhole()) {
             int attempt = o == null ? 0 : o.attempts.size();
             if (o != null) {
--- a/src/main/java/yewyoke/faults/Process.java
+++ b/src/main/java/yewyoke/faults/Process.java
@@ -26,6 +26,8 @@
     private Future<Void> stopped;
     private Runnable onListening;
     private boolean dead;
+    /** Whether it told others that it lets clients in. */
+    private boolean announced;
     private long stopAt;
 
     Process(World world, int number, long seed) {
@@ -73,6 +75,14 @@
                 return world.hasTwin(Process.this);
             }
 
+            @Override public boolean listens() {
+                return world.hasListeningTwin(Process.this);
+            }
+
+            @Override public void listening(boolean does) {
+                announced = does;
+            }
+
             @Override public void close() { }
         };
     }
@@ -89,6 +99,10 @@
         return !dead && (stopped == null || !stopped.isDone());
     }
 
+    boolean listens() {
+        return lives() && announced;
+    }
+
     boolean is(Host which) {
         return host == which;
     }
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -190,6 +190,11 @@
         return processes.stream().anyMatch(p -> p != of && p.lives());
     }
 
+    /** Whether another process than this one lets clients in. */
+    boolean hasListeningTwin(Process of) {
+        return processes.stream().anyMatch(p -> p != of && p.listens());
+    }
+
     /** Whether that process was told to stop a while ago, and another one is there for its clients. */
     boolean hasHandedOver(Host host) {
         return processes.stream().anyMatch(p -> p.is(host) && p.stoppingFor() > 100_000 && hasTwin(p));
--- a/src/main/java/yewyoke/http1/client/ClientServer.java
+++ b/src/main/java/yewyoke/http1/client/ClientServer.java
@@ -11,7 +11,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.util.concurrent.Promise;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.HashSet;
@@ -40,17 +40,14 @@
     /** So long a connection is kept between requests, and one whose client reads nothing of its answer. */
     private static final long IDLE_MS = 5_000;
     private static final long UNREAD_MS = 6_000;
-    /** So long a client may take to close its side after ours; with a stop under way there is less time. */
+    /** So long a client may take to close its side after ours; a stop may bring the end forward. */
     private static final long LINGER_MS = 2_000;
-    private static final long LAST_LINGER_MS = 500;
     /** With all connections taken, these make room: answered for good, silent, stopped half way, or idle. */
     private static final long YIELD_ANSWERED_MS = 100;
     private static final long YIELD_NEW_MS = 250;
     private static final long YIELD_HALF_MS = 1_000;
     private static final long YIELD_OLD_MS = 2_000;
     private static final long SWEEP_MS = 100;
-    /** At a planned stop idle connections are closed one by one, this far apart. */
-    private static final long BETWEEN_CLOSES_MS = 1;
 
     final Transport transport;
     private final EventLoop loop;
@@ -71,11 +68,10 @@
     final Set<Session> idle = new LinkedHashSet<>();
     final Set<Session> unread = new LinkedHashSet<>();
     final Set<Session> lingering = new LinkedHashSet<>();
-    private final Promise<Void> drained;
+    final Drain drain;
+    private InetSocketAddress address;
     private volatile Listening listening;
     private volatile boolean stopping;
-    /** Whether each answer is the last on its connection. */
-    boolean leaving;
 
     /** Not listening yet; at most so many connections at a time. */
     public ClientServer(Transport transport, Driver driver, SettingsReader.Found facts, int maxConnections) {
@@ -84,11 +80,21 @@
         this.driver = driver;
         this.check = new RequestCheck(facts);
         this.maxConnections = maxConnections;
-        this.drained = loop.newPromise();
+        this.drain = new Drain(this, loop, driver);
     }
 
     /** Listens; the future fails if the address can't be had. */
-    public ChannelFuture bind(InetSocketAddress address) {
+    public ChannelFuture bind(InetSocketAddress at) {
+        address = at;
+        return listenAgain().addListener(f -> {
+            if (f.isSuccess()) {
+                loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** Listens where it did before. */
+    ChannelFuture listenAgain() {
         ChannelFuture binding = new ServerBootstrap().group(loop).channelFactory(transport::listening)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
@@ -101,7 +107,8 @@
         binding.addListener(f -> {
             if (f.isSuccess()) {
                 listening = (Listening) binding.channel();
-                loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+                address = (InetSocketAddress) listening.localAddress();
+                makeRoom();
             }
         });
         return binding;
@@ -128,7 +135,7 @@
     void closed(Session session) {
         sessions.remove(session);
         makeRoom();
-        finishIfDrained();
+        drain.finishIfEmpty();
     }
 
     /** Why no new client should come here, an empty text if nothing stands against it; any thread may ask. */
@@ -143,79 +150,78 @@
         return listening.localAddress();
     }
 
+    // ---- A stop, which {@link Drain} leads through -----------------------------------------------------
+
     /** From now on no new client should come here; any thread may tell. */
     public void leaves() {
         stopping = true;
     }
 
     /**
-     * A planned stop: goes on accepting while clients still come, and serving those that have connections.
-     * All that was taken is answered, the last of it as failed when time runs out. The future is done when
-     * nothing is left.
+     * A planned stop: all that is taken is answered, the last of it as failed when time runs out. The future
+     * is done when nothing is left. Asked again, the sooner times hold.
      */
-    public Promise<Void> drain(long keepAcceptingMs, long keepServingMs, long lastAnswerMs) {
-        loop.execute(() -> stopping = true);
-        loop.schedule(this::stopAccepting, keepAcceptingMs, TimeUnit.MILLISECONDS);
-        return end(keepServingMs, lastAnswerMs);
+    public Future<Void> drain(DrainTimes times) {
+        leaves();
+        return drain.by(times);
     }
 
-    /**
-     * A stop with a successor in place, which has this address too: those who wait here are let in, and
-     * whoever asks for something gets with the answer the word to connect anew. A connection closed with no
-     * request on it may cross one, so that is left to the end.
-     */
-    public Promise<Void> handOver(long keepServingMs, long lastAnswerMs) {
-        loop.execute(() -> {
-            stopping = true;
-            // Only then: those who connect anew must not meet the listener that is about to close.
-            listening.closeFuture().addListener(f -> leaving = true);
-            stopAccepting();
-        });
-        return end(keepServingMs, lastAnswerMs);
+    /** Whether a stop has begun and not ended. */
+    public boolean isDraining() {
+        return drain.isUnderWay();
     }
 
-    private void stopAccepting() {
-        listening.closeFuture().addListener(f -> finishIfDrained());
-        listening.closeBehindTheLast(channel -> {
-            prepare(channel);
-            loop.register(channel);
-        });
+    /** Whether another process lets clients in at this address, which matters during a stop. */
+    public void successor(boolean listens) {
+        drain.successor(listens);
     }
 
-    private Promise<Void> end(long keepServingMs, long lastAnswerMs) {
-        loop.schedule(() -> {
-            leaving = true;
-            closeIdle();
-        }, keepServingMs, TimeUnit.MILLISECONDS);
-        loop.schedule(driver::failAll, lastAnswerMs, TimeUnit.MILLISECONDS);
-        return drained;
+    Listening listening() {
+        return listening;
     }
 
-    /**
-     * Closes one idle connection at a time: between two the loop reads what has come. All in one go, requests
-     * that came while the first ones were being closed would be lost with the last ones.
-     */
-    private void closeIdle() {
-        Stream.concat(silent.stream(), idle.stream()).findFirst().ifPresent(Session::close);
-        finishIfDrained();
-        if (!sessions.isEmpty()) {
-            loop.schedule(this::closeIdle, BETWEEN_CLOSES_MS, TimeUnit.MILLISECONDS);
-        }
+    boolean listens() {
+        return listening != null && listening.isOpen();
+    }
+
+    boolean isEmpty() {
+        return sessions.isEmpty();
     }
 
-    private void finishIfDrained() {
-        if (stopping && !listening.isOpen() && sessions.isEmpty()) {
-            drained.trySuccess(null);
+    /** Takes in a client that the listener had accepted before it closed. */
+    void take(Channel channel) {
+        prepare(channel);
+        loop.register(channel);
+    }
+
+    /** Those on which nothing is asked, and no part of it. */
+    Stream<Session> resting() {
+        return Stream.concat(silent.stream().filter(Session::isNew), idle.stream());
+    }
+
+    /** Those whose request has come in part won't see it taken any more. */
+    void endHalfCome() {
+        for (Session s : List.copyOf(silent)) {
+            s.look(); // the loop may be behind
+            if (s.isHalfCome()) {
+                s.reject(HttpResponseStatus.REQUEST_TIMEOUT, "stopping");
+            }
         }
     }
 
+    void closeAll() {
+        List.copyOf(sessions).forEach(Session::close);
+    }
+
+    // ---- Limits ----------------------------------------------------------------------------------------
+
     /** Ends what has lasted too long. */
     private void sweep() {
         List.copyOf(silent).forEach(this::endIfStopped);
         while (lasts(idle, IDLE_MS)) {
             idle.iterator().next().retire();
         }
-        while (lasts(lingering, leaving ? LAST_LINGER_MS : LINGER_MS)) {
+        while (lasts(lingering, LINGER_MS)) {
             lingering.iterator().next().close();
         }
         while (lasts(unread, UNREAD_MS)) {
@@ -270,7 +276,7 @@
             if (yields.isEmpty()) {
                 break;
             }
-            yields.get().retire();
+            yields.get().makeWay();
         }
         if (listening != null && listening.isOpen() && listening.isRegistered()) {
             listening.config().setAutoRead(sessions.size() < maxConnections);
--- a/src/main/java/yewyoke/http1/client/Session.java
+++ b/src/main/java/yewyoke/http1/client/Session.java
@@ -136,19 +136,40 @@
 
     /**
      * Ends a connection that waits for a request. What has come by now is read, and keeps the connection if
-     * it is a request's beginning; what comes later stays unread and is its client's to send again.
+     * it is a request's beginning; what comes later is dropped and its client's to send again.
      */
     void retire() {
+        retire(this::linger);
+    }
+
+    /** The same where its place is needed at once: what comes later stays unread, and may meet a reset. */
+    void makeWay() {
+        retire(this::close);
+    }
+
+    private void retire(Runnable end) {
         if (look() || mayTake()) {
             return;
         }
-        if (isNew() || server.idle.contains(this) || !channel.isOpen()) {
+        if (!channel.isOpen()) {
             close();
+        } else if (rests()) {
+            end.run();
         } else {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "no request");
         }
     }
 
+    /** Whether there is no request on it, and no part of one. */
+    private boolean rests() {
+        return isNew() || server.idle.contains(this);
+    }
+
+    /** Whether there is a part of a request, and none in work. */
+    boolean isHalfCome() {
+        return !isNew() && serving == null && stage == Stage.OPEN && !mayTake();
+    }
+
     /** Closes; counts as closed at once, while the channel says so a little later. */
     void close() {
         stage = Stage.CLOSED;
@@ -165,6 +186,7 @@
         release();
         stage = Stage.LINGERING;
         intake.drop();
+        leave();
         if (channel.isActive()) {
             enter(server.lingering);
             ((DuplexChannel) channel).shutdownOutput();
@@ -379,7 +401,7 @@
     /** Whether the connection ends behind this answer, and says so in its head. */
     private boolean isLast(HttpResponse answer) {
         boolean unsent = reading != null && reading == serving;
-        boolean last = server.leaving || stage != Stage.OPEN || unsent
+        boolean last = server.drain.isLeaving() || stage != Stage.OPEN || unsent
                 || serving != null && !HttpUtil.isKeepAlive(serving.head);
         if (last) {
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/src/main/java/yewyoke/node/LockTwin.java
+++ b/src/main/java/yewyoke/node/LockTwin.java
@@ -10,14 +10,19 @@
 
 /**
  * Tells whether a second process serves at the same address, as while one replaces the other. Each of the two
- * holds a lock on one byte of a common file; the system gives it back however the process ends.
+ * holds a lock on one byte of a common file while it lives, and on another while it lets clients in; the
+ * system gives them back however the process ends.
  */
 final class LockTwin implements Twin {
     private static final System.Logger LOG = System.getLogger(LockTwin.class.getName());
 
+    /** Places 0 and 1 tell who lives, and those from here on who lets clients in. */
+    private static final int LISTENS = 2;
+
     /** Null where the folder can't be written: then nobody can tell, and one process is the usual case. */
     private final FileChannel file;
     private final int place;
+    private FileLock listening;
 
     private LockTwin(FileChannel file, int place) {
         this.file = file;
@@ -46,10 +51,31 @@
     }
 
     @Override public boolean lives() {
+        return isTaken(1 - place);
+    }
+
+    @Override public boolean listens() {
+        return isTaken(LISTENS + 1 - place);
+    }
+
+    @Override public void listening(boolean does) {
+        try {
+            if (does && file != null && listening == null) {
+                listening = lock(file, LISTENS + place);
+            } else if (!does && listening != null) {
+                listening.release();
+                listening = null;
+            }
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "can't tell a second process of this one: " + e);
+        }
+    }
+
+    private boolean isTaken(int at) {
         if (file == null) {
             return false;
         }
-        try (FileLock free = lock(file, 1 - place)) {
+        try (FileLock free = lock(file, at)) {
             return free == null;
         } catch (IOException e) {
             return false;
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import yewyoke.Balancer;
 import yewyoke.exchange.Back;
 import yewyoke.exchange.Driver;
 import yewyoke.exchange.Figures;
@@ -25,14 +24,6 @@
  */
 public final class Node {
     private static final System.Logger LOG = System.getLogger(Node.class.getName());
-    /** After SIGTERM connections come for up to 0.4 s more; a little later none waits to be accepted. */
-    private static final long KEEP_ACCEPTING_MS = 500;
-    /** SIGKILL comes so long after SIGTERM and the longest deadline, which counts for 3 s at most. */
-    private static final long KILL_MS = 700;
-    private static final long LONGEST_DEADLINE_MS = 3_000;
-    /** What SIGKILL finds unanswered is lost: so long before it the last answers go out, and clients go. */
-    private static final long LAST_ANSWER_MS = 250;
-    private static final long LAST_REQUEST_MS = 700;
     /** How often to look for a second process, and whether the list is known. */
     private static final long LOOK_MS = 100;
 
@@ -52,6 +43,7 @@
     private Phase phase = Phase.CLOSED;
     private Future<Void> listened;
     private Promise<Void> stopped;
+    private long toldAt;
 
     /** Whether clients can get in; {@link #listen} and {@link #stop} lead from one to the next, on the loop. */
     private enum Phase { CLOSED, BINDING, OPEN, STOPPING }
@@ -152,6 +144,7 @@
         server.bind(config.listen()).addListener(f -> {
             if (f.isSuccess()) {
                 phase = Phase.OPEN;
+                twin.listening(true);
                 done.setSuccess(null);
             } else {
                 phase = Phase.CLOSED;
@@ -163,6 +156,9 @@
     /** Two processes share what is given to one: descriptors first of all. */
     private void lookForTwin() {
         boolean two = twin.lives();
+        if (phase == Phase.STOPPING) {
+            server.successor(twin.listens());
+        }
         if (two != shares) {
             shares = two;
             Room room = Room.of(config.sockets(), shares);
@@ -190,6 +186,9 @@
             driver.settings(next.facts());
             discovery.move(next.discovery());
             keeper.moved(next.discovery());
+            if (server.isDraining()) {
+                drain();
+            }
             figures.loaded(true);
             LOG.log(System.Logger.Level.INFO, "took the new configuration");
         } catch (IOException | BadInput | RuntimeException e) {
@@ -222,23 +221,26 @@
             case BINDING -> listened.addListener(f -> stop(told)); // whoever has connected by then is served
             case OPEN -> {
                 phase = Phase.STOPPING;
-                drain(TimeUnit.NANOSECONDS.toMillis(transport.nanoTime() - told));
+                toldAt = told;
+                keeper.leaving();
+                twin.listening(false);
+                server.successor(twin.listens());
+                LOG.log(System.Logger.Level.INFO, twin.listens() ? "hands over to a successor"
+                        : "has no successor");
+                drain();
             }
             default -> throw new IllegalStateException("stops twice");
         }
     }
 
-    private void drain(long behindMs) {
-        long longest = config.facts().settings().classes().stream()
-                .mapToLong(Balancer.RequestClass::giveUp).max().orElse(0) / 1_000;
-        long kill = Math.min(LONGEST_DEADLINE_MS, longest) + KILL_MS - behindMs;
-        long leave = Math.max(KEEP_ACCEPTING_MS, kill - LAST_REQUEST_MS);
-        keeper.leaving();
-        boolean successor = twin.lives();
-        LOG.log(System.Logger.Level.INFO, successor ? "hands over to a successor" : "has no successor");
-        Future<Void> drained = successor ? server.handOver(leave, kill - LAST_ANSWER_MS)
-                : server.drain(KEEP_ACCEPTING_MS - behindMs, leave, kill - LAST_ANSWER_MS);
-        drained.addListener(f -> stopped.setSuccess(null));
+    /**
+     * Goes by the settings as they are, also for requests that came under longer deadlines: SIGKILL does. If
+     * these settings follow within the stop and leave less time, the sooner times hold.
+     */
+    private void drain() {
+        long gone = TimeUnit.NANOSECONDS.toMillis(transport.nanoTime() - toldAt);
+        server.drain(StopTimes.of(config.facts().settings()).after(gone)).addListener(f ->
+                stopped.trySuccess(null));
     }
 
     /** Gives up its place beside a twin. */
--- a/src/main/java/yewyoke/node/Twin.java
+++ b/src/main/java/yewyoke/node/Twin.java
@@ -6,4 +6,10 @@
 public interface Twin extends Closeable {
     /** Whether the other one lives. */
     boolean lives();
+
+    /** Whether the other one lets clients in, and is not about to end. */
+    boolean listens();
+
+    /** Makes known whether this one does. */
+    void listening(boolean does);
 }
--- a/src/test/java/yewyoke/node/OnSockets.java
+++ b/src/test/java/yewyoke/node/OnSockets.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +25,7 @@
 import yewyoke.faults.process.peer.Sockets.Server;
 import yewyoke.exchange.Figures;
 import yewyoke.http1.client.ClientServer;
+import yewyoke.http1.client.DrainTimes;
 
 /** A balancer between servers and clients of the test, all on loopback sockets. */
 abstract class OnSockets {
@@ -109,6 +111,12 @@
                 + "\"via\":\"" + reports + "\"},\"prices\":{},\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
     }
 
+    /** Has the balancer stop by these times, which don't depend on its settings; closes what is left late. */
+    Future<Void> drain(long acceptMs, long keepMs, long lastAnswerMs) throws Exception {
+        DrainTimes times = new DrainTimes(acceptMs, keepMs, lastAnswerMs, 600_000);
+        return group.next().submit(() -> node.drain(times)).sync().getNow();
+    }
+
     /** One more process, as far as others can tell. */
     Node node(Path file) throws Exception {
         Node next = Node.start(file, group.next(), figures, folder, Shelf.NONE);
