Balancers that have left the group are told nothing after new settings

Telling keeps for each upstream who else uses it (telling.sharers), worked out from group size and position; Decisions.settings left that as it was, so that a module whose group had shrunk went on telling positions that no longer exist. Nothing is told on sockets today, so only the module's interface was at fault. Found by drawn settings, replaced in the middle of a history.

New settings put the list in order anew, which forgets the sharers. Measured: ReplacedSettingsTest red without the change (told 1 and 2 instead of 1), green with it.

--- a/src/main/java/yewyoke/decide/Decisions.java
+++ b/src/main/java/yewyoke/decide/Decisions.java
@@ -25,6 +25,7 @@
 
     @Override public void settings(long now, Settings next) {
         Terms.take(b, next);
+        b.ups.settle(); // who else uses an upstream follows from the group
         Waiting.pump(b, now);
     }
 
