A probe that was never sent does not count as a round trip

Where upstreams are asked before a pick, Asking.heard took now - askedAt as the round trip of a probe, also for a process that was never asked (askedAt is then the time before all others): a restart in the list between probe and answer is enough, since the answer is told by id. The usual round trip became thousands of years, so that a pick waited without end for one upstream that hangs, no load report ever aged again, and the ask timer was set beyond all bounds.

The answer to a probe of the process before it is passed over (AskingState.asked).

--- a/src/main/java/yewyoke/decide/Asking.java
+++ b/src/main/java/yewyoke/decide/Asking.java
@@ -65,7 +65,7 @@
     static boolean silent(Books b, Host up, long now) { return b.terms.asks && !fresh(b, up, now); }
 
     static void heard(Books b, Host up, LoadReport load, long now) {
-        if (b.terms.asks && load != null && load.active() >= 0) {
+        if (b.terms.asks && load != null && load.active() >= 0 && up.asking.asked()) {
             double foreign = Math.min(load.active(), MOST_ACTIVE) - up.inFlight.requests();
             b.others.saw(up, Math.max(0, foreign), now);
             double took = Smooth.into(b.asking.took, now - up.asking.askedAt, SMOOTH);
--- a/src/main/java/yewyoke/decide/kept/AskingState.java
+++ b/src/main/java/yewyoke/decide/kept/AskingState.java
@@ -7,6 +7,11 @@
     /** When it was last probed apart from that. */
     public long probedAt = HealthState.NEVER;
 
+    /** Whether it ever was: what answers otherwise is meant for the process before it. */
+    public boolean asked() {
+        return askedAt > HealthState.NEVER;
+    }
+
     /** What asking keeps beside. */
     public static final class Own {
         /** Until when a pick waits for answers. */
