--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -188,12 +188,18 @@
 
     /** Half an answer is none: the client would take it for what the upstream made. */
     @ParameterizedTest
-    @CsvSource({"Content-Length: 10", "Transfer-Encoding: chunked", "X-No-Length: 1"})
-    void cutAnswerIsNotPassedOn(String framing) throws Exception {
+    @CsvSource({"Content-Length: 10,false", "Transfer-Encoding: chunked,false", "X-No-Length: 1,false",
+        "Content-Length: 10,true", "Transfer-Encoding: chunked,true", "X-No-Length: 1,true",
+        "Connection: close,true"})
+    void cutAnswerIsNotPassedOn(String framing, boolean reset) throws Exception {
         Server upstream = server((m, s) -> {
             String half = "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n4\r\nha";
             s.getOutputStream().write(half.getBytes("UTF-8"));
-            s.close();
+            if (reset) {
+                Sockets.reset(s);
+            } else {
+                s.close();
+            }
         });
         start(upstream);
         assertFailed(client().write(submit()).read());
@@ -370,7 +376,7 @@
         }));
         Client unused = client();
         Client inWork = client().write(submit());
-        Future<Void> drained = node.drain(1_000, 1_000, 60_000);
+        Future<Void> drained = drain(1_000, 1_000, 60_000);
         Client late = client().write(submit());
         assertNull(unused.read(), "closed between requests");
         assertFalse(drained.isDone());
@@ -394,7 +400,7 @@
         start(one, two);
         Client client = client().write(request("GET", "look", "600000", ""));
         assertTrue(taken.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
-        Future<Void> drained = node.drain(1, 1, 100);
+        Future<Void> drained = drain(1, 1, 100);
         assertTrue(client.read().status() >= 500);
         assertTrue(drained.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
         assertEquals(1, one.requests.size() + two.requests.size());
