--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -202,7 +202,7 @@
         return processes.stream().anyMatch(p -> p != of && p.lives());
     }
 
-    /** Whether that process has ended: what is written to it, tells nobody. */
+    /** Whether that process has ended: what is written to it tells nobody. */
     boolean hasEnded(Host host) {
         return processes.stream().anyMatch(p -> p.is(host) && !p.lives());
     }
