--- a/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
+++ b/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
@@ -745,6 +745,10 @@
             return real.outgoing();
         }
 
+        @Override public void look(Channel channel) {
+            real.look(channel);
+        }
+
         @Override public Listening listening() {
             return real.listening();
         }
