--- a/src/main/java/yewyoke/faults/Discovery.java
+++ b/src/main/java/yewyoke/faults/Discovery.java
@@ -168,9 +168,8 @@
         });
     }
 
-    /** A process starts anew; what discovery has in an outage it gets to know once that is over. */
+    /** A process starts; what discovery has in an outage it gets to know once that is over. */
     void newcomer() {
-        world.oracle.forgotten();
         if (outages > 0 || down && world.descriptors > 0) {
             world.oracle.nothingTold();
             for (Upstream u : world.upstreams) {
--- a/src/main/java/yewyoke/faults/Process.java
+++ b/src/main/java/yewyoke/faults/Process.java
@@ -135,7 +135,7 @@
         if (!dead && stopped == null) {
             world.trace(host + " is told to stop");
             stopAt = world.timeline.micros();
-            stoppedAlone = !world.hasTwin(this);
+            stoppedAlone = !world.hasSuccessor(this);
             stopped = node.stop();
             stopped.addListener(f -> {
                 world.trace(host + " has stopped");
--- a/src/main/java/yewyoke/faults/Upstream.java
+++ b/src/main/java/yewyoke/faults/Upstream.java
@@ -130,9 +130,8 @@
             Oracle.Run run = world.oracle.ran(name, id, begunAt);
             if (script != null) {
                 Reply r = script.to(name);
-                if (r.text().startsWith("HTTP/1.1 200")) {
-                    world.oracle.made(name, r.text().substring(r.text().indexOf("\r\n\r\n") + 4));
-                }
+                new Message.Reader().add(r.text().getBytes(StandardCharsets.ISO_8859_1))
+                        .forEach(m -> world.oracle.made(name, m.body()));
                 reply(r.text(), r.after());
             } else if (strikes(Fault.Kind.FULL) || draining && random.nextDouble() < 0.5) {
                 run.never = true;
--- a/src/main/java/yewyoke/faults/World.java
+++ b/src/main/java/yewyoke/faults/World.java
@@ -202,6 +202,11 @@
         return processes.stream().anyMatch(p -> p != of && p.lives());
     }
 
+    /** Whether another process is there, and there to stay. */
+    boolean hasSuccessor(Process of) {
+        return processes.stream().anyMatch(p -> p != of && p.lives() && !p.isStopping());
+    }
+
     /** Whether that process has ended: what is written to it tells nobody. */
     boolean hasEnded(Host host) {
         return processes.stream().anyMatch(p -> p.is(host) && !p.lives());
@@ -302,7 +307,7 @@
             case KILL -> {
                 killed = true;
                 current().kill();
-                timeline.in(len, this::startAnew);
+                timeline.in(len, this::startIfNoneServes);
             }
             case HAND_OVER -> handOver();
             case TERM -> {
@@ -450,6 +455,7 @@
     }
 
     private void startAnew() {
+        oracle.forgotten();
         discovery.newcomer();
         start();
     }
@@ -459,6 +465,7 @@
         if (!old.lives() || old.isStopping()) {
             return;
         }
+        discovery.newcomer();
         Process next = start();
         next.whenListening(old::stop);
     }
