FollowingNodes: its lone twin tells whether it listens, as the interface now asks

Twin got listens and listening with the hand-over, beside this test's own class of it: the two parts did not compile together. The change only adds the two methods; what the test checks is as before.

--- a/src/test/java/yewyoke/faults/FollowingNodes.java
+++ b/src/test/java/yewyoke/faults/FollowingNodes.java
@@ -75,6 +75,12 @@
             return false;
         }
 
+        @Override public boolean listens() {
+            return false;
+        }
+
+        @Override public void listening(boolean does) { }
+
         @Override public void close() { }
     };
 
