Tests: limits and drops in one turn, floods, and a connection lost in the call that writes

UpstreamCrossingsTest: the limit while a dial is out, an idle connection dropped and asked for in one turn (closed, expired, beyond the limit), a flood behind a whole answer, an answer that never ends.

--- /dev/null
+++ b/src/test/java/yewyoke/http1/upstream/ExchangeTest.java
@@ -0,0 +1,112 @@
+package yewyoke.http1.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.Balancer.Outcome;
+import yewyoke.Balancer.State;
+import yewyoke.exchange.Back;
+import yewyoke.exchange.Body;
+import yewyoke.exchange.Head;
+import yewyoke.exchange.ServerList;
+import yewyoke.transport.SocketTransport;
+
+/** A connection ends between two lines of ours: in the very call that writes, or that tells of room. */
+class ExchangeTest {
+    private final EmbeddedChannel stage = new EmbeddedChannel();
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final Upstreams upstreams =
+            new Upstreams(new SocketTransport(stage.eventLoop()), 1_000_000, 100_000_000, 10);
+    private final List<String> heard = new ArrayList<>();
+    private final Back.Listener listener = new Back.Listener() {
+        @Override public void ended(Outcome outcome, Back.Answer answer) {
+            heard.add(outcome.toString());
+        }
+
+        @Override public void written() {
+            heard.add("written");
+        }
+    };
+
+    private Back.Attempt start(Body body) {
+        upstreams.apply(new ServerList(1, true, List.of(new ServerList.Entry("u",
+                new InetSocketAddress("127.0.0.1", 1), "", "", 0, State.READY, 1, 0))));
+        upstreams.adopt("u", channel);
+        return upstreams.start("u", new Head("POST", "/x", "app.svc", true, List.of()), body, listener);
+    }
+
+    private String sent() {
+        StringBuilder all = new StringBuilder();
+        for (Object o = channel.readOutbound(); o != null; o = channel.readOutbound()) {
+            all.append(((ByteBuf) o).toString(StandardCharsets.US_ASCII));
+        }
+        return all.toString();
+    }
+
+    private static Body body(int length, Runnable room) {
+        Body body = new Body(length, System::nanoTime, room);
+        body.add(Unpooled.wrappedBuffer(new byte[length]));
+        return body;
+    }
+
+    /** Its last byte is out, so it may have run, though nobody has been told of the write yet. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 2 * Body.SMALL})
+    void connectionLostInTheCallThatWritesTheLastByteMayHaveRun(int length) {
+        Body body = body(length, () -> { });
+        body.end();
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            private int left = length;
+
+            @Override public void write(ChannelHandlerContext ctx, Object bytes, ChannelPromise promise) {
+                left -= ((ByteBuf) bytes).readableBytes();
+                ctx.write(bytes, promise);
+            }
+
+            @Override public void flush(ChannelHandlerContext ctx) {
+                ctx.flush();
+                if (left <= 0) {
+                    ctx.close();
+                }
+            }
+        });
+        start(body);
+        stage.runPendingTasks();
+        assertEquals("RESET", heard.get(heard.size() - 1));
+    }
+
+    /** Told of room for more, the client's side gives the attempt up: nothing goes out behind that. */
+    @Test
+    void attemptGivenUpAsItTellsOfRoomWritesNothingMore() {
+        Back.Attempt[] attempt = new Back.Attempt[1];
+        Body body = body(2 * Body.SMALL, () -> {
+            if (attempt[0] != null) {
+                attempt[0].abandon();
+            }
+        });
+        attempt[0] = start(body);
+        sent();
+        body.add(Unpooled.wrappedBuffer(new byte[10]));
+        assertFalse(sent().isEmpty());
+        body.drained(); // gives up
+        body.add(Unpooled.wrappedBuffer(new byte[10]));
+        body.end();
+        stage.runPendingTasks();
+        assertEquals("", sent());
+        assertFalse(channel.isOpen());
+        assertEquals(List.of(), heard);
+    }
+}
--- a/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
+++ b/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
@@ -500,6 +500,73 @@
         assertEquals(2, server.accepted.size(), "the other one was kept");
     }
 
+    /** One is dialled and there may be no other: the second attempt fails at once, and takes no place. */
+    @Test
+    void limitHoldsWhileADialIsOut() throws Exception {
+        Server server = listed(server(SERVE));
+        inLoop(() -> upstreams.limit(1));
+        List<Heard> both = loop.submit(() -> List.of(new Heard().starts(Body.empty()),
+                new Heard().starts(Body.empty()))).get();
+        both.get(1).hearsLast("CONNECT_FAILED");
+        both.get(0).isServed();
+        ask().isServed();
+        assertEquals(1, server.accepted.size());
+    }
+
+    private enum Drop {
+        CLOSED, EXPIRED, BEYOND_THE_LIMIT
+    }
+
+    /** Dropped and asked for in one turn: the next request goes on a connection of its own. */
+    @ParameterizedTest
+    @EnumSource(Drop.class)
+    void idleConnectionThatIsDroppedIsNotTakenInTheSameTurn(Drop drop) throws Exception {
+        Server server = listed(server(SERVE));
+        inLoop(() -> upstreams.limit(1));
+        ask().isServed();
+        loop.submit(() -> {
+            switch (drop) {
+                case CLOSED -> upstreams.closeIdle("s0");
+                case EXPIRED -> upstreams.times(5_000_000, 0);
+                case BEYOND_THE_LIMIT -> upstreams.limit(0);
+            }
+            upstreams.limit(1);
+            return new Heard().starts(Body.empty());
+        }).get().isServed();
+        assertEquals(0, Sockets.next(server.ended));
+        assertEquals(2, server.accepted.size());
+    }
+
+    /** It is served, and what comes behind it is read no further than its own turn. */
+    @Test
+    void floodBehindAWholeAnswerEndsTheConnection() throws Exception {
+        Server server = listed(server((m, s) -> {
+            SERVE.on(m, s);
+            while (true) {
+                write(s, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray".repeat(100));
+            }
+        }));
+        inLoop(() -> upstreams.limit(1));
+        ask().isServed();
+        assertEquals(0, Sockets.next(server.ended));
+        ask().isServed();
+    }
+
+    /** Its attempt's time is what ends it. */
+    @Test
+    void answerWithoutEndEndsAsItIsGivenUp() throws Exception {
+        Server server = listed(server((m, s) -> {
+            Sockets.beginChunks(s);
+            Sockets.chunk(s, "x"); // and says no more
+        }));
+        Heard heard = ask();
+        heard.hears("written", "began");
+        inLoop(heard.attempt::abandon);
+        heard.hearsLast();
+        assertEquals(0, Sockets.next(server.ended));
+        nextIsServed();
+    }
+
     // ---- What comes before an answer -----------------------------------------------------------------
 
     /** It kept the loop at work until the attempt's time was up. */
