Attempts get a place of their own, and a request read too late for one is refused unsent

Seen in a run of the whole build: LeavingTest's request of a lagging loop, read with less time left than the module's margin, was given to an upstream and refused right behind that, since Admission sends before it looks at deadlines (one attempt started, none could begin). Driver.open now refuses what is read with no more than the margin left.

Starting, ending and counting attempts moves out of Driver into Attempts, with Open saying whether one more may be sent and Try its states. Two more crossings over loopback sockets: a request whose time runs out behind another on its connection (was sent on and served late), and nonsense behind a request whose large answer is under way (the answer was cut short).

--- /dev/null
+++ b/src/main/java/yewyoke/exchange/Attempts.java
@@ -0,0 +1,104 @@
+package yewyoke.exchange;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import yewyoke.Balancer.Outcome;
+import yewyoke.exchange.Back.Answer;
+
+/** The one place where attempts are started, counted and ended. Times are the module's, in microseconds. */
+final class Attempts {
+    /** Whose requests these are. */
+    interface Owner {
+        /** Whether it may begin at this instant. */
+        boolean mayBegin(Open o, Try attempt);
+
+        /** A large answer begins; null if nobody wants it. */
+        Download opened(Open o, Try attempt, long length);
+
+        /** It has ended; {@code answer} is null if none came whole. */
+        void ended(Open o, Try attempt, Outcome outcome, Answer answer);
+    }
+
+    private final EventLoop loop;
+    private final LongSupplier clock;
+    private final Back back;
+    private final Figures figures;
+    private final Owner owner;
+
+    Attempts(EventLoop loop, LongSupplier clock, Back back, Figures figures, Owner owner) {
+        this.loop = loop;
+        this.clock = clock;
+        this.back = back;
+        this.figures = figures;
+        this.owner = owner;
+    }
+
+    /** Starts one that waits for its answer so long, or for 0 as long as the client does. */
+    void start(Open o, String upstream, long timeout) {
+        long now = clock.getAsLong();
+        Try attempt = o.add(upstream, now);
+        long left = timeout == 0 ? o.deadline - now : Math.max(0, Math.min(timeout, o.deadline - now));
+        long told = Math.min(left, o.request.timeLeft()) / 1_000;
+        Back.Attempt under = back.start(upstream, o.head.within(told), o.body, new Life(o, attempt));
+        attempt.started(under, now + left >= o.deadline ? null
+                : loop.schedule(() -> giveUp(o, attempt, Outcome.TIMEOUT), left, TimeUnit.MICROSECONDS));
+    }
+
+    /** Stops waiting for it, if that goes at this point. */
+    void giveUp(Open o, Try attempt, Outcome how) {
+        if (attempt.giveUp()) {
+            end(o, attempt, how, null);
+        }
+    }
+
+    /** The same for those of a request that are meant. */
+    void giveUpAll(Open o, Predicate<Try> meant, Outcome how) {
+        for (int i = 0; i < o.attempts.size(); i++) {
+            if (meant.test(o.attempts.get(i))) {
+                giveUp(o, o.attempts.get(i), how);
+            }
+        }
+    }
+
+    private void end(Open o, Try attempt, Outcome how, Answer answer) {
+        owner.ended(o, attempt, attempt.end(how), answer);
+    }
+
+    /** What is heard of one attempt. */
+    private final class Life implements Back.Listener {
+        private final Open o;
+        private final Try attempt;
+
+        Life(Open o, Try attempt) {
+            this.o = o;
+            this.attempt = attempt;
+        }
+
+        @Override public boolean mayBegin() {
+            if (!attempt.isOut()) {
+                return false;
+            }
+            attempt.ask();
+            return attempt.begin(owner.mayBegin(o, attempt));
+        }
+
+        @Override public void written() {
+            attempt.written(clock.getAsLong());
+            figures.tried();
+        }
+
+        @Override public void began() {
+            attempt.opened(clock.getAsLong());
+        }
+
+        @Override public Download opened(long length) {
+            return owner.opened(o, attempt, length);
+        }
+
+        @Override public void ended(Outcome outcome, Answer answer) {
+            end(o, attempt, outcome, answer);
+        }
+    }
+}
--- a/src/main/java/yewyoke/exchange/Driver.java
+++ b/src/main/java/yewyoke/exchange/Driver.java
@@ -44,6 +44,7 @@
     private SettingsReader.Found facts;
     private final String host;
     private final Back upstreams;
+    private final Attempts attempts;
     private final LoadReports reports = new LoadReports();
     private final Figures figures;
     private final Balancer balancer;
@@ -73,6 +74,7 @@
         this.facts = facts;
         this.host = host;
         this.upstreams = upstreams;
+        this.attempts = new Attempts(loop, this::now, upstreams, figures, new Followed());
         this.figures = figures;
         facts.classes().forEach(figures::show);
         this.balancer = modules.make(facts.settings(), seed, this);
@@ -205,7 +207,7 @@
         long left = request.timeLeft() + (body.isEnded() ? 0 : LONGEST_BODY_MS * 1_000);
         Open o = new Open(request, className, facts.settings(), head, body, client, now() + left);
         int most = o.limits.maxOpen();
-        boolean over = left <= 0; // read too late: nobody waits for an answer any more
+        boolean over = left <= facts.settings().margin(); // read too late for any attempt to begin
         if (over || most > 0 && open.size() >= most) {
             body.release();
             count(o, Ending.DROPPED);
@@ -265,17 +267,14 @@
             conclude(o, null);
             event(() -> balancer.clientGone(now(), id)); // first, or it would take the request for ended
             boolean cutShort = o.streaming || !o.body.isEnded();
-            for (int i = 0; i < o.attempts.size(); i++) {
-                if (cutShort || o.attempts.get(i).isUnsent()) {
-                    giveUp(o, i, Outcome.CANCELLED); // the module may let attempts run, but these can't
-                }
-            }
+            // The module may let attempts run on, but these can't.
+            attempts.giveUpAll(o, t -> cutShort || t.isUnsent(), Outcome.CANCELLED);
         }
     }
 
     /** At the deadline: ends what is out, and answers if the module, told of that, does not. */
     private void overdue(Open o) {
-        endAll(o, Outcome.TIMEOUT);
+        attempts.giveUpAll(o, t -> true, Outcome.TIMEOUT);
         event(() -> {
             if (!o.concluded) {
                 conclude(o, Ending.BAD_GATEWAY);
@@ -289,12 +288,6 @@
         });
     }
 
-    private void endAll(Open o, Outcome outcome) {
-        for (int i = 0; i < o.attempts.size(); i++) {
-            giveUp(o, i, outcome);
-        }
-    }
-
     /** A planned stop has run out of time: whatever is still open gets its answer while it can. */
     public void failAll() {
         for (Open o : List.copyOf(open.values())) {
@@ -329,114 +322,61 @@
     // ---- Attempts ------------------------------------------------------------------------------------
 
     @Override public void send(String id, String upstream, long timeout) {
-        long now = now();
         Open o = open.get(id);
-        if (o == null || o.concluded || o.attempts.size() >= o.limits.maxAttempts() || o.deadline <= now
-                || o.outstanding() && !o.limits.secondCopies() || !o.body.isWhole()) {
-            int attempt = o == null ? 0 : o.attempts.size();
-            if (o != null) {
-                Try never = new Try(upstream, now);
-                never.end(Outcome.MOOT);
-                o.attempts.add(never);
-            }
-            event(() -> balancer.outcome(now(), new AttemptEnd(id, attempt, upstream, Outcome.MOOT, 0,
-                    o == null || o.concluded, null)));
+        if (o != null && o.maySend(now())) {
+            attempts.start(o, upstream, timeout);
             return;
         }
-        int number = o.attempts.size();
-        Try attempt = new Try(upstream, now);
-        o.attempts.add(attempt);
-        long left = timeout == 0 ? o.deadline - now : Math.max(0, Math.min(timeout, o.deadline - now));
-        long told = Math.min(left, o.request.timeLeft()) / 1_000;
-        attempt.attempt = upstreams.start(upstream, o.head.within(told), o.body, new Back.Listener() {
-            @Override public boolean mayBegin() {
-                return Driver.this.mayBegin(o, attempt);
-            }
-
-            @Override public void ended(Outcome outcome, Answer answer) {
-                Driver.this.ended(o, number, outcome, answer);
-            }
-
-            @Override public void written() {
-                attempt.written(now());
-                figures.tried();
-            }
-
-            @Override public void began() {
-                attempt.opened(now());
-            }
-
-            @Override public Download opened(long length) {
-                return Driver.this.opened(o, number, length);
-            }
-        });
-        if (now + left < o.deadline) {
-            attempt.timeout = loop.schedule(() -> giveUp(o, number, Outcome.TIMEOUT), left,
-                    TimeUnit.MICROSECONDS);
+        int number = o == null ? 0 : o.add(upstream, now()).number;
+        if (o != null) {
+            o.attempts.get(number).end(Outcome.MOOT);
         }
+        event(() -> balancer.outcome(now(), new AttemptEnd(id, number, upstream, Outcome.MOOT, 0,
+                o == null || o.concluded, null)));
     }
 
-    private boolean mayBegin(Open o, Try attempt) {
-        if (!attempt.isOut()) {
-            return false;
-        }
-        attempt.ask();
-        if (!o.concluded && !o.client.isHere()) {
-            gone(o.request.id());
+    @Override public void cancel(String id, int attempt) {
+        Open o = open.get(id);
+        if (o != null && attempt >= 0 && attempt < o.attempts.size()) {
+            attempts.giveUp(o, o.attempts.get(attempt), Outcome.CANCELLED);
         }
-        return attempt.begin(o.mayBegin(attempt, now()));
     }
 
-    /** A large answer begins; from here on it is its client's, and no deadline cuts it off. */
-    private Download opened(Open o, int number, long length) {
-        if (o.concluded || o.streaming) {
-            return null;
-        }
-        o.streaming = true;
-        o.atDeadline.cancel(false);
-        Try attempt = o.attempts.get(number);
-        attempt.streams = true;
-        if (attempt.timeout != null) {
-            attempt.timeout.cancel(false);
-        }
-        event(() -> balancer.opened(now(), o.request.id(), number));
-        for (int i = 0; i < o.attempts.size(); i++) {
-            if (i != number) {
-                giveUp(o, i, Outcome.CANCELLED);
+    /** What follows from what attempts do. */
+    private final class Followed implements Attempts.Owner {
+        @Override public boolean mayBegin(Open o, Try attempt) {
+            if (!o.concluded && !o.client.isHere()) {
+                gone(o.request.id());
             }
+            return o.mayBegin(attempt, now());
         }
-        o.client.serving(length);
-        return o.client;
-    }
-
-    private void giveUp(Open o, int number, Outcome outcome) {
-        Try attempt = o.attempts.get(number);
-        if (attempt.canBeGivenUp()) {
-            attempt.attempt.abandon();
-            ended(o, number, outcome, null);
-        }
-    }
 
-    private void ended(Open o, int number, Outcome how, Answer answer) {
-        Try attempt = o.attempts.get(number);
-        Outcome outcome = attempt.end(how);
-        if (attempt.streams && !o.concluded) {
-            conclude(o, outcome == Outcome.OK ? Ending.PASSED : Ending.BAD_GATEWAY);
-        } else if (outcome == Outcome.OK && !o.concluded) {
-            conclude(o, Ending.PASSED);
-            o.client.served(answer.body());
+        /** A large answer begins; from here on it is its client's, and no deadline cuts it off. */
+        @Override public Download opened(Open o, Try attempt, long length) {
+            if (o.concluded || o.streaming) {
+                return null;
+            }
+            o.streaming = true;
+            o.atDeadline.cancel(false);
+            attempt.stream();
+            event(() -> balancer.opened(now(), o.request.id(), attempt.number));
+            attempts.giveUpAll(o, t -> t != attempt, Outcome.CANCELLED);
+            o.client.serving(length);
+            return o.client;
         }
-        LoadReport load = answer == null ? null : load(answer.load());
-        forgetIfDone(o);
-        long took = attempt.took(now());
-        event(() -> balancer.outcome(now(), new AttemptEnd(o.request.id(), number, attempt.upstream, outcome,
-                took, o.concluded, load)));
-    }
 
-    @Override public void cancel(String id, int attempt) {
-        Open o = open.get(id);
-        if (o != null && attempt >= 0 && attempt < o.attempts.size()) {
-            giveUp(o, attempt, Outcome.CANCELLED);
+        @Override public void ended(Open o, Try attempt, Outcome outcome, Answer answer) {
+            if (attempt.streams() && !o.concluded) {
+                conclude(o, outcome == Outcome.OK ? Ending.PASSED : Ending.BAD_GATEWAY);
+            } else if (outcome == Outcome.OK && !o.concluded) {
+                conclude(o, Ending.PASSED);
+                o.client.served(answer.body());
+            }
+            LoadReport load = answer == null ? null : load(answer.load());
+            forgetIfDone(o);
+            long took = attempt.took(now());
+            event(() -> balancer.outcome(now(), new AttemptEnd(o.request.id(), attempt.number,
+                    attempt.upstream, outcome, took, o.concluded, load)));
         }
     }
 
--- a/src/main/java/yewyoke/exchange/Open.java
+++ b/src/main/java/yewyoke/exchange/Open.java
@@ -40,6 +40,19 @@
         this.deadline = deadline;
     }
 
+    /** One more attempt, decided on now. */
+    Try add(String upstream, long now) {
+        Try next = new Try(attempts.size(), upstream, now);
+        attempts.add(next);
+        return next;
+    }
+
+    /** Whether there may be one more attempt. */
+    boolean maySend(long now) {
+        return !concluded && attempts.size() < limits.maxAttempts() && deadline > now
+                && (!outstanding() || limits.secondCopies()) && body.isWhole();
+    }
+
     /** Whether an attempt may begin at this instant: somebody waits for it, and it is legal. */
     boolean mayBegin(Try next, long now) {
         return !concluded && !streaming && lastLook.allows(next, attempts, deadline, now);
--- a/src/main/java/yewyoke/exchange/Try.java
+++ b/src/main/java/yewyoke/exchange/Try.java
@@ -10,26 +10,33 @@
 final class Try {
     private enum State { UNSENT, ASKING, DENIED, BEGUN, ENDED }
 
+    /** Its place among those of its request. */
+    final int number;
     final String upstream;
     /** When the module decided on it: what a class remembers is counted from here, before the bytes went. */
     final long sentAt;
-    /** Null if it never started. */
-    Back.Attempt attempt;
-    ScheduledFuture<?> timeout;
-    /** Its answer is passed on as it comes and belongs to the client. */
-    boolean streams;
+    private Back.Attempt attempt;
+    private ScheduledFuture<?> timeout;
+    private boolean streams;
     private State state = State.UNSENT;
     private Outcome outcome;
     /** When it was written, and when its answer began: the time of a body is not the upstream's. */
     private long writtenAt;
     private long openedAt;
 
-    Try(String upstream, long sentAt) {
+    Try(int number, String upstream, long sentAt) {
+        this.number = number;
         this.upstream = upstream;
         this.sentAt = sentAt;
         this.writtenAt = sentAt;
     }
 
+    /** It is under way; {@code atTimeout} ends it, null if only the request's own deadline does. */
+    void started(Back.Attempt under, ScheduledFuture<?> atTimeout) {
+        attempt = under;
+        timeout = atTimeout;
+    }
+
     /** Its first byte is about to go out. */
     void ask() {
         state = State.ASKING;
@@ -50,6 +57,31 @@
         openedAt = now;
     }
 
+    /** Its answer is passed on as it comes, and belongs to the client. */
+    void stream() {
+        streams = true;
+        stopTimeout();
+    }
+
+    boolean streams() {
+        return streams;
+    }
+
+    private void stopTimeout() {
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+    }
+
+    /** Nothing more goes out of it. One that asks, or was denied, is about to hear or to end by itself. */
+    boolean giveUp() {
+        boolean can = state == State.UNSENT || state == State.BEGUN;
+        if (can) {
+            attempt.abandon();
+        }
+        return can;
+    }
+
     /**
      * Over. Gives the outcome as the module is to have it: of one that we called off before its first byte
      * nothing is known of the upstream, and it never ran.
@@ -58,9 +90,7 @@
         boolean calledOff = state == State.DENIED || how == Outcome.CANCELLED && isUnsent();
         state = State.ENDED;
         outcome = calledOff ? Outcome.MOOT : how;
-        if (timeout != null) {
-            timeout.cancel(false);
-        }
+        stopTimeout();
         return outcome;
     }
 
@@ -68,11 +98,6 @@
         return state == State.UNSENT || state == State.ASKING || state == State.DENIED;
     }
 
-    /** Whether it can be given up; one that asks, or was denied, is about to hear or to end. */
-    boolean canBeGivenUp() {
-        return state == State.UNSENT || state == State.BEGUN;
-    }
-
     boolean isOut() {
         return state != State.ENDED;
     }
--- a/src/test/java/yewyoke/exchange/Bench.java
+++ b/src/test/java/yewyoke/exchange/Bench.java
@@ -148,6 +148,12 @@
         return client;
     }
 
+    /** Time goes on, and the loop does not come to run anything. */
+    void lag(long micros) {
+        nanos += micros * 1_000;
+        clock.advanceTimeBy(micros, TimeUnit.MICROSECONDS);
+    }
+
     /** Lets time go on, in steps of a millisecond. */
     void pass(long micros) {
         for (long left = micros; left > 0; left -= MILLI) {
--- a/src/test/java/yewyoke/exchange/LastLookTest.java
+++ b/src/test/java/yewyoke/exchange/LastLookTest.java
@@ -19,8 +19,8 @@
     private static final long WINDOW = 300_000;
     private static final long MARGIN = 15_000;
 
-    private final Try first = new Try("a", 1_000);
-    private final Try next = new Try("b", 50_000);
+    private final Try first = new Try(0, "a", 1_000);
+    private final Try next = new Try(1, "b", 50_000);
 
     private static LastLook look(Effect effect, boolean secondCopies) {
         return new LastLook(new RequestClass("c", 1, 0, DEADLINE, 1, 0, effect, Scope.ALL, WINDOW, false),
--- a/src/test/java/yewyoke/exchange/LeavingTest.java
+++ b/src/test/java/yewyoke/exchange/LeavingTest.java
@@ -139,11 +139,22 @@
     }
 
     /** Read so late that its time is over: refused at once. */
-    @Test
-    void requestWithNoTimeLeftIsRefusedUnsent() {
+    @ParameterizedTest
+    @ValueSource(longs = {0, 15 * MILLI})
+    void requestWithNoTimeLeftIsRefusedUnsent(long left) {
         Bench b = new Bench(false, true).list(1, 0);
-        assertEquals("refused", b.ask(SAFE, 0).got);
+        assertEquals("refused", b.ask(SAFE, left).got);
         assertEquals(0, b.sent.size());
         assertEquals(0, b.figures.inProgress());
     }
+
+    /** It may have waited unread for as long as the loop is behind. */
+    @Test
+    void requestReadByALaggingLoopIsRefusedUnsentIfItsTimeIsOver() {
+        Bench b = new Bench(false, true).list(1, 0);
+        b.pass(20 * MILLI);
+        b.lag(400 * MILLI);
+        assertEquals("refused", b.ask(SAFE, 300 * MILLI).got);
+        assertEquals(0, b.sent.size());
+    }
 }
--- a/src/test/java/yewyoke/node/ClientCrossingsTest.java
+++ b/src/test/java/yewyoke/node/ClientCrossingsTest.java
@@ -149,6 +149,25 @@
         assertSentOn(upstream, "id-2");
     }
 
+    /** Its time runs while it waits, though its connection reads it long before. */
+    @Test
+    void requestWhoseTimeIsOverBehindAnotherIsRefusedUnsent() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        Server upstream = server((m, s) -> {
+            answer.await();
+            SERVE.on(m, s);
+        });
+        start(upstream);
+        Client client = client().write(submit() + request("POST", "submit", "50", ""));
+        Sockets.next(upstream.requests);
+        loopComesRound();
+        standUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(60));
+        answer.countDown();
+        assertEquals(200, client.read().status());
+        assertEquals(503, client.read().status());
+        assertEquals(0, upstream.requests.size());
+    }
+
     /** With so many behind the one in work no more is read, and that hid the end of the connection. */
     @Test
     void clientThatLeavesWithManyRequestsWaitingIsSeenToLeave() throws Exception {
@@ -260,6 +279,33 @@
         assertNull(client.read());
     }
 
+    /** An error can't be written into the middle of another answer. */
+    @Test
+    void answerUnderWayIsEndedWholeThoughTheClientSendsNonsense() throws Exception {
+        CountDownLatch more = new CountDownLatch(1);
+        Server upstream = server((m, s) -> {
+            write(s, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "a".repeat(100_000));
+            more.await();
+            write(s, "b".repeat(100_000));
+        });
+        start(upstream);
+        try (Socket client = new Socket()) {
+            client.connect(node.address());
+            client.setSoTimeout(Sockets.PATIENCE_S * 1_000);
+            write(client, submit());
+            InputStream in = new BufferedInputStream(client.getInputStream());
+            in.mark(1 << 20);
+            in.readNBytes(100_000); // all of the first half is written, or as good as
+            loopComesRound();
+            write(client, "nonsense\r\n\r\n");
+            loopComesRound();
+            more.countDown();
+            in.reset();
+            assertEquals("a".repeat(100_000) + "b".repeat(100_000), Sockets.read(in).body());
+            assertNull(Sockets.read(in));
+        }
+    }
+
     /** What is there when room is made is read first. */
     @Test
     void requestThatCrossesTheCloseOfAnIdleConnectionIsServed() throws Exception {
@@ -290,7 +336,7 @@
         assertNull(client.read());
     }
 
-    /** The loop itself lags until then. */
+    /** Until that time has come. */
     private static void standUntil(long nanoTime) {
         while (System.nanoTime() < nanoTime) {
             LockSupport.parkNanos(nanoTime - System.nanoTime());
