--- a/src/main/java/yewyoke/node/RareLine.java
+++ b/src/main/java/yewyoke/logging/RareLine.java
@@ -1,9 +1,9 @@
-package yewyoke.node;
+package yewyoke.logging;
 
 import java.util.concurrent.TimeUnit;
 
 /** A line of the log about something that may go wrong again and again: it is written once until it ceases. */
-final class RareLine {
+public final class RareLine {
     /** What has not happened for so long has ceased. */
     private static final long CEASED_NS = TimeUnit.MINUTES.toNanos(1);
 
@@ -11,7 +11,7 @@
     private long last;
 
     /** Whether to write it, now that the thing has happened; {@code now} in nanoseconds. */
-    boolean due(long now) {
+    public boolean due(long now) {
         boolean due = !ever || now - last > CEASED_NS;
         ever = true;
         last = now;
--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -8,6 +8,7 @@
 import yewyoke.exchange.Directory;
 import yewyoke.exchange.Driver;
 import yewyoke.exchange.ServerList;
+import yewyoke.logging.RareLine;
 import yewyoke.settings.BadInput;
 import yewyoke.transport.Transport;
 
@@ -147,7 +148,7 @@
 
     @Override public void failed(Throwable why) {
         if (failure.due(transport.nanoTime())) {
-            LOG.log(System.Logger.Level.ERROR, "closed a call to discovery after a failure: " + why);
+            LOG.log(System.Logger.Level.WARNING, "a call to discovery failed here: " + why);
         }
     }
 
--- a/src/main/java/yewyoke/node/DiscoveryCall.java
+++ b/src/main/java/yewyoke/node/DiscoveryCall.java
@@ -59,7 +59,7 @@
         /** The call has ended without being cancelled. */
         void ended(DiscoveryCall call);
 
-        /** Something failed here that no peer should be able to bring about. */
+        /** Something failed here, as for want of a descriptor; the call ends. */
         void failed(Throwable why);
     }
 
@@ -91,7 +91,8 @@
             connecting = transport.connect(address, DiscoveryTimes.DIAL_MS,
                     c -> c.pipeline().addLast(new HttpClientCodec(), call));
         } catch (ChannelException e) {
-            transport.loop().execute(call::end); // out of descriptors
+            caller.failed(e); // out of descriptors
+            transport.loop().execute(call::end);
             return call;
         }
         call.channel = connecting.channel();
--- /dev/null
+++ b/src/test/java/yewyoke/node/DiscoveryCrossingsTest.java
@@ -0,0 +1,360 @@
+package yewyoke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.exchange.Modules;
+import yewyoke.faults.process.peer.Sockets;
+import yewyoke.faults.process.peer.Sockets.Message;
+import yewyoke.faults.process.peer.Sockets.Server;
+import yewyoke.transport.Listening;
+import yewyoke.transport.SocketTransport;
+import yewyoke.transport.Transport;
+
+/** Lists and calls for them that cross an end, a move or a failure, in an order that the peers force. */
+class DiscoveryCrossingsTest extends OnSockets {
+    private static final Logger LOGS = Logger.getLogger("yewyoke");
+
+    private final List<LogRecord> logged = new CopyOnWriteArrayList<>();
+    private final Handler ear = new Handler() {
+        @Override public void publish(LogRecord line) {
+            logged.add(line);
+        }
+
+        @Override public void flush() { }
+
+        @Override public void close() { }
+    };
+
+    @BeforeEach
+    void hear() {
+        LOGS.addHandler(ear);
+    }
+
+    @AfterEach
+    void hearNoMore() {
+        LOGS.removeHandler(ear);
+    }
+
+    private static boolean watch(Message m) {
+        return m.start().startsWith("GET /v1/servers?follow=1&since=");
+    }
+
+    private static void say(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
+                .getBytes("UTF-8"));
+    }
+
+    private static String indented(String list) {
+        return list.replace("{", "{\n  ").replace("}", "\n}").replace("[", "[\n").replace(",\"", ",\n    \"");
+    }
+
+    private void assertOneLine(String text) {
+        List<LogRecord> lines = logged.stream().filter(l -> l.getLevel().intValue() >= Level.WARNING.intValue())
+                .toList();
+        assertEquals(1, lines.size(), () -> lines.stream().map(LogRecord::getMessage).toList().toString());
+        assertTrue(lines.get(0).getMessage().contains(text), lines.get(0).getMessage());
+        assertEquals(1, lines.get(0).getMessage().lines().count());
+        assertEquals(null, lines.get(0).getThrown());
+    }
+
+    private void assertGetsNothing(Server upstream) throws Exception {
+        int before = upstream.requests.size();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, client().write(submit()).read().status());
+        }
+        assertEquals(before, upstream.requests.size());
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void listMayComeIndented(boolean piecewise) throws Exception {
+        Server before = server(SERVE);
+        Server after = server(SERVE);
+        Server discovery = server((m, s) -> {
+            Sockets.beginChunks(s);
+            String text = indented(list(42, true, entry("s-after", after.addr(), "Ready"))) + "\n\n";
+            for (int i = 0; i < text.length(); i += piecewise ? 7 : text.length()) {
+                say(s, text.substring(i, Math.min(text.length(), i + (piecewise ? 7 : text.length()))));
+            }
+        });
+        start(ready(before), discovery);
+        awaitServedBy(after);
+        assertGetsNothing(before);
+        assertEquals(1, discovery.requests.size());
+        assertEquals(List.of(), logged.stream().filter(l -> l.getLevel() == Level.WARNING).toList());
+    }
+
+    /** What a torn or broken line had to tell is never said again on that watch: the whole list has it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"version\":42,\"full\":false,\"servers\":[{\"id\":\"s-", "nonsense",
+        "{\"version\":42,\"full\":false,\"servers\":[{\"id\":7}]}", "{}", "[]", "{\"version\":\"x\"}"})
+    void brokenLineIsMadeUpForByTheWholeListAndTheWatchGoesOn(String line) throws Exception {
+        Server before = server(SERVE);
+        Server after = server(SERVE);
+        Server last = server(SERVE);
+        Server discovery = server((m, s) -> {
+            if (watch(m)) {
+                Sockets.beginChunks(s);
+                Sockets.chunk(s, line);
+                Sockets.chunk(s, "");
+                Sockets.chunk(s, line);
+                Sockets.chunk(s, "");
+            } else {
+                Sockets.answer(s, "200 OK", "", indented(list(43, true, entry("x", after.addr(), "Ready"))));
+            }
+        });
+        start(ready(before), discovery);
+        awaitServedBy(after);
+        assertGetsNothing(before);
+        assertTrue(watch(Sockets.next(discovery.requests)));
+        assertTrue(Sockets.next(discovery.requests).start().startsWith("GET /v1/servers HTTP"));
+        Sockets.chunk(discovery.accepted.get(0), list(44, true, entry("x", last.addr(), "Ready")));
+        awaitServedBy(last);
+        assertTrue(discovery.requests.isEmpty(), "the watch was not opened anew");
+        assertOneLine("broken line");
+    }
+
+    /** Half a line and the end of the connection: the new watch asks from the version that is held. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void halfALineAndTheEndOfTheWatch(boolean reset) throws Exception {
+        Server before = server(SERVE);
+        Server after = server(SERVE);
+        AtomicInteger calls = new AtomicInteger();
+        String list = list(42, true, entry("x", after.addr(), "Ready"));
+        Server discovery = server((m, s) -> {
+            Sockets.beginChunks(s);
+            if (calls.getAndIncrement() > 0) {
+                Sockets.chunk(s, list);
+                return;
+            }
+            say(s, "\n" + list.substring(0, list.length() - 2));
+            if (reset) {
+                Sockets.reset(s);
+            } else {
+                s.close();
+            }
+        });
+        start(ready(before), discovery);
+        awaitServedBy(after);
+        assertTrue(Sockets.next(discovery.requests).start().contains("since=41"));
+        assertTrue(Sockets.next(discovery.requests).start().contains("since=41"));
+        assertTrue(discovery.requests.isEmpty());
+    }
+
+    /** The one that answers the new watch lags behind: what drained does not come back. */
+    @Test
+    void olderListOfANewWatchDoesNotTakeTheListBack() throws Exception {
+        Server drained = server(SERVE);
+        Server other = server(SERVE);
+        Server last = server(SERVE);
+        String id = "s-" + drained.addr();
+        AtomicInteger calls = new AtomicInteger();
+        Server discovery = server((m, s) -> {
+            Sockets.beginChunks(s);
+            if (calls.getAndIncrement() == 0) {
+                Sockets.chunk(s, list(50, false, entry(id, drained.addr(), "Terminating")));
+                s.close();
+                return;
+            }
+            assertTrue(m.start().contains("since=50"));
+            for (int i = 0; i < 3; i++) {
+                Sockets.chunk(s, list(49, true, entry(id, drained.addr(), "Ready")));
+            }
+            Sockets.chunk(s, list(51, false, entry("x", last.addr(), "Ready")));
+        });
+        start(ready(drained, other), discovery);
+        awaitServedBy(last);
+        assertGetsNothing(drained);
+        assertFalse(other.requests.isEmpty() && last.requests.isEmpty());
+        assertOneLine("older than the one held, 50");
+    }
+
+    /** A listener with a full queue: the connection is never accepted, and the move comes meanwhile. */
+    @Test
+    void discoveryMovesWhileTheCallIsBeingDialled() throws Exception {
+        Server before = server(SERVE);
+        Server after = server(SERVE);
+        Server moved = server((m, s) -> {
+            Sockets.beginChunks(s);
+            Sockets.chunk(s, list(3, true, entry("x", after.addr(), "Ready")));
+        });
+        List<Socket> queued = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            fill(full, queued);
+            Server placeholder = server(HANG);
+            start(ready(before), placeholder);
+            Sockets.next(placeholder.requests);
+            reload(placeholder.addr(), "127.0.0.1:" + full.getLocalPort());
+            assertEquals(200, client().write(submit()).read().status());
+            reload("127.0.0.1:" + full.getLocalPort(), moved.addr());
+            assertTrue(Sockets.next(moved.requests).start().contains("since=0"));
+            awaitServedBy(after);
+            for (Socket s : queued) {
+                s.close();
+            }
+            assertNoCallOf(full, queued.size());
+        }
+        assertTrue(moved.requests.isEmpty());
+    }
+
+    private static void fill(ServerSocket full, List<Socket> queued) throws IOException {
+        while (true) {
+            Socket one = new Socket();
+            try {
+                one.connect(full.getLocalSocketAddress(), 300);
+                queued.add(one);
+            } catch (IOException e) {
+                one.close();
+                return;
+            }
+        }
+    }
+
+    /** Whoever waited there to be accepted has said nothing. */
+    private static void assertNoCallOf(ServerSocket full, int queued) throws IOException {
+        for (int i = 0; i < queued; i++) {
+            try (Socket s = full.accept()) {
+                s.setSoTimeout(Sockets.PATIENCE_S * 1_000);
+                assertEquals(-1, s.getInputStream().read());
+            }
+        }
+    }
+
+    /** The old discovery has the answer ready, and says it once the new one has been heard. */
+    @Test
+    void answerThatCrossesTheMoveIsNotHeard() throws Exception {
+        Server before = server(SERVE);
+        Server after = server(SERVE);
+        CountDownLatch heard = new CountDownLatch(1);
+        CountDownLatch said = new CountDownLatch(1);
+        Server old = server((m, s) -> {
+            heard.await();
+            try {
+                Sockets.beginChunks(s);
+                Sockets.chunk(s, list(99, true, entry("s-before", before.addr(), "Ready")));
+            } finally {
+                said.countDown();
+            }
+        });
+        Server moved = server((m, s) -> {
+            Sockets.beginChunks(s);
+            Sockets.chunk(s, list(3, true, entry("x", after.addr(), "Ready")));
+        });
+        start(ready(before), old);
+        Sockets.next(old.requests);
+        reload(old.addr(), moved.addr());
+        awaitServedBy(after);
+        heard.countDown();
+        assertTrue(said.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(0, Sockets.next(old.ended));
+        assertGetsNothing(before);
+        assertEquals(1, old.accepted.size());
+        assertEquals(1, moved.accepted.size());
+    }
+
+    private void reload(String from, String to) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Files.readString(file).replace("\"discovery\":\"" + from + "\"",
+                "\"discovery\":\"" + to + "\""));
+        group.next().submit(() -> running.reload()).sync();
+    }
+
+    /** Discovery can't be dialled for want of descriptors: one line, and it is once there is one. */
+    @Test
+    void noDescriptorForACallToDiscovery() throws Exception {
+        Server before = server(SERVE);
+        Server after = server(SERVE);
+        Server discovery = server((m, s) -> {
+            Sockets.beginChunks(s);
+            Sockets.chunk(s, list(42, true, entry("x", after.addr(), "Ready")));
+        });
+        start(ready(before), server(HANG)); // writes the file
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Files.readString(file).replaceAll("\"discovery\":\"[0-9.:]+\"",
+                "\"discovery\":\"" + discovery.addr() + "\""));
+        CountDownLatch failed = new CountDownLatch(4);
+        AtomicBoolean scarce = new AtomicBoolean(true);
+        Transport scarceOne = new ScarceTransport(group.next(), scarce, failed);
+        Node second = Node.start(file, scarceOne, figures, Files.createDirectory(folder.resolve("other")),
+                Shelf.NONE, Modules.BALANCE);
+        second.listen();
+        node = second.server();
+        assertTrue(failed.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(discovery.requests.isEmpty());
+        scarce.set(false);
+        awaitServedBy(after);
+        assertOneLine("no socket");
+        assertEquals(1, discovery.accepted.size());
+        second.close();
+    }
+
+    /** The system's sockets while there are any. */
+    private record ScarceTransport(Transport real, AtomicBoolean scarce, CountDownLatch failed)
+            implements Transport {
+        ScarceTransport(EventLoop loop, AtomicBoolean scarce, CountDownLatch failed) {
+            this(new SocketTransport(loop), scarce, failed);
+        }
+
+        @Override public EventLoop loop() {
+            return real.loop();
+        }
+
+        @Override public long nanoTime() {
+            return real.nanoTime();
+        }
+
+        @Override public long wallMillis() {
+            return real.wallMillis();
+        }
+
+        @Override public RandomGenerator random() {
+            return real.random();
+        }
+
+        @Override public Channel outgoing() {
+            if (scarce.get()) {
+                failed.countDown();
+                throw new ChannelException("no socket", new SocketException("Too many open files"));
+            }
+            return real.outgoing();
+        }
+
+        @Override public Listening listening() {
+            return real.listening();
+        }
+
+        @Override public Listening listeningAlone() {
+            return real.listeningAlone();
+        }
+    }
+}
