A request inside the margin of its deadline is refused without being sent

The module answers three ticks before a deadline (Terms.MARGIN_TICKS). A request that came with less than that was sent by Admission.take and given up in the same event: work for nothing, and of an unsafe request an effect behind an answer that says it failed. With deadlines of some hundred milliseconds and clients that give each try a part of them this is no rare case. Found by reading.

Repeats.maySend asks Answers.over, as the further attempt does already, instead of the bare deadline. Measured: ShortDeadlinesTest red without the change (sent, for each of the three effects), green with it, with 3,000 drawn histories, BalanceTest and FourRulesTest.

--- a/src/main/java/yewyoke/decide/Repeats.java
+++ b/src/main/java/yewyoke/decide/Repeats.java
@@ -13,7 +13,7 @@
     /** What rules 1 to 3 leave open for a further attempt. */
     static boolean maySend(Books b, OpenRequest r, Host up, long now) {
         if (r.ended || r.streaming || r.attempts.size() >= r.limits.maxAttempts()
-                || now >= r.deadline) {
+                || Answers.over(b, r, now)) {
             return false;
         }
         if (r.attempts.isEmpty()) {
