A broken settings file is refused with line and column, a load report shown on one line

Config.parse let the JSON library's exceptions through, and Main.firstLine cut off their second line, which has the place: operators read a class name and no place. They are refused now as BadInput with line, column and reason; a file short of a key is refused by its name as before.

LoadReports logged a report that can't be read as it came: a body of up to 64 KiB, or of many lines. Its first 80 characters are shown now, without control characters. It is logged once, as before. The upstream's id is not in that line yet: the caller (Driver) has to hand it in.

Measured: BadConfigTest red without the change in Config (3 of 7), green with it; LoadReportsTest does not compile without LoadReports.shown, and is green with it, with CommandLineTest.

--- a/src/main/java/yewyoke/exchange/LoadReports.java
+++ b/src/main/java/yewyoke/exchange/LoadReports.java
@@ -8,6 +8,9 @@
 final class LoadReports {
     private static final System.Logger LOG = System.getLogger(LoadReports.class.getName());
 
+    /** So much of a report is shown: more than its fields need, and a body may be of any length. */
+    private static final int SHOWN = 80;
+
     private boolean badLogged;
 
     /**
@@ -35,8 +38,14 @@
         }
         if (!understood && !badLogged) {
             badLogged = true;
-            LOG.log(System.Logger.Level.WARNING, "ignored a load report that can't be read: " + text);
+            LOG.log(System.Logger.Level.WARNING, "ignored a load report that can't be read: " + shown(text));
         }
         return understood ? new LoadReport(r[0], r[1], r[2], r[3] * 1_000, r[4], r[5]) : null;
     }
+
+    /** Its beginning, on one line. */
+    static String shown(String text) {
+        String line = text.substring(0, Math.min(SHOWN, text.length())).replaceAll("\\p{Cntrl}", " ");
+        return text.length() > SHOWN ? line + "..." : line;
+    }
 }
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -40,6 +41,10 @@
     public static Config parse(byte[] text) throws BadInput, IOException {
         try (JsonParser json = JSON.createParser(text)) {
             return read(json, text);
+        } catch (JsonProcessingException e) {
+            String reason = e.getOriginalMessage().lines().findFirst().orElse("not JSON");
+            throw new BadInput("line " + e.getLocation().getLineNr() + ", column "
+                    + e.getLocation().getColumnNr() + ": " + reason);
         } catch (IllegalArgumentException e) {
             throw new BadInput(e.getMessage());
         }
