--- a/src/test/java/yewyoke/node/DiscoveryCrossingsTest.java
+++ b/src/test/java/yewyoke/node/DiscoveryCrossingsTest.java
@@ -341,6 +341,10 @@
             return real.random();
         }
 
+        @Override public void look(Channel channel) {
+            real.look(channel);
+        }
+
         @Override public Channel outgoing() {
             if (scarce.get()) {
                 failed.countDown();
