--- a/src/main/java/yewyoke/exchange/Attempts.java
+++ b/src/main/java/yewyoke/exchange/Attempts.java
@@ -48,8 +48,12 @@
 
     /** Stops waiting for it, if that goes at this point. */
     void giveUp(Open o, Try attempt, Outcome how) {
+        boolean cut = attempt.streams() && !o.concluded;
         if (attempt.giveUp()) {
             end(o, attempt, how, null);
+            if (cut) {
+                o.client.end(false); // whoever passed the answer on is called off, too
+            }
         }
     }
 
--- a/src/test/java/yewyoke/exchange/Bench.java
+++ b/src/test/java/yewyoke/exchange/Bench.java
@@ -116,7 +116,9 @@
             bytes.release();
         }
 
-        @Override public void end(boolean whole) { }
+        @Override public void end(boolean whole) {
+            got += whole ? " whole" : " cut";
+        }
 
         @Override public boolean isHere() {
             return here;
--- a/src/test/java/yewyoke/exchange/LeavingTest.java
+++ b/src/test/java/yewyoke/exchange/LeavingTest.java
@@ -157,4 +157,17 @@
         assertEquals("refused", b.ask(SAFE, 300 * MILLI).got);
         assertEquals(0, b.sent.size());
     }
+
+    /** Its client waited for the rest for good, and the process for its client (seed 2082). */
+    @Test
+    void largeAnswerUnderWayAtTheEndOfAStopIsCut() {
+        Bench b = new Bench(false, true).list(1, 0);
+        Answered client = b.ask(SAFE, 1_000 * MILLI);
+        assertTrue(b.sent.get(0).comesUp());
+        b.sent.get(0).listener.opened(200_000);
+        b.driver.failAll();
+        assertEquals("serving cut", client.got);
+        assertTrue(b.sent.get(0).abandoned);
+        assertEquals(0, b.figures.inProgress());
+    }
 }
