ClientServer: no descriptor for a client is one plain line, and accepting goes on by our own limit

ServerBootstrap.bind had no handler of its own, so an accept that failed for want of a descriptor went to Netty: a stack trace a second, and after that second reading is turned on again whatever ClientServer.makeRoom had decided.

AcceptFailures writes one line for a repeated failure, stops accepting, and has makeRoom decide 0.1 s later or as soon as a connection ends.

Measured, virtual time, DescriptorsTest: without the handler acceptingWithoutADescriptorIsOneLine fails (none of our lines), with it both pass. The other test there passes without a change, too: 2,000 idle clients while discovery is down, 488 descriptors, and its return is heard within 2 s, so the lead that these shut out discovery is refuted for the figures of Room in virtual time; a real process limit was not tried.

--- a/src/main/java/yewyoke/http1/client/ClientServer.java
+++ b/src/main/java/yewyoke/http1/client/ClientServer.java
@@ -75,6 +75,7 @@
     /** Listens; the future fails if the address can't be had. */
     public ChannelFuture bind(InetSocketAddress address) {
         ChannelFuture binding = new ServerBootstrap().group(loop).channelFactory(transport::listening)
+                .handler(new AcceptFailures(transport::nanoTime, this::makeRoom))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         if (channel.config() instanceof SocketChannelConfig socket) {
