--- a/src/main/java/yewyoke/http1/client/ClientServer.java
+++ b/src/main/java/yewyoke/http1/client/ClientServer.java
@@ -96,6 +96,7 @@
     /** Listens where it did before. */
     ChannelFuture listenAgain() {
         ChannelFuture binding = new ServerBootstrap().group(loop).channelFactory(transport::listening)
+                .handler(new AcceptFailures(transport::nanoTime, this::makeRoom))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         if (channel.config() instanceof SocketChannelConfig socket) {
