--- a/src/main/java/yewyoke/exchange/Driver.java
+++ b/src/main/java/yewyoke/exchange/Driver.java
@@ -282,11 +282,7 @@
 
     /** At the deadline: ends what is out, and answers if the module, told of that, does not. */
     private void overdue(Open o) {
-        boolean cutShort = o.streaming && !o.concluded;
         attempts.giveUpAll(o, t -> true, Outcome.TIMEOUT);
-        if (cutShort) {
-            o.client.end(false); // concluded with its attempt, which was given up and tells nobody
-        }
         event(() -> {
             if (!o.concluded) {
                 conclude(o, Ending.BAD_GATEWAY);
