--- a/src/main/java/yewyoke/http1/upstream/Connection.java
+++ b/src/main/java/yewyoke/http1/upstream/Connection.java
@@ -106,7 +106,7 @@
             }
             case WHOLE -> decoder.whole();
             case UNWANTED -> breakOff(Outcome.CANCELLED);
-            case SPOILT -> breakOff(answer.exchange().lost());
+            default -> breakOff(answer.exchange().lost()); // spoilt
         }
     }
 
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -187,8 +187,8 @@
     }
 
     /**
-     * Half an answer is none: the client would take it for what the upstream made. A FIN is the end of one that
-     * tells no length, and a reset is the end of none.
+     * Half an answer is none: the client would take it for what the upstream made. A FIN is the end of one
+     * that tells no length, and a reset is the end of none.
      */
     @ParameterizedTest
     @CsvSource({"Content-Length: 10,false", "Transfer-Encoding: chunked,false", "Content-Length: 10,true",
--- a/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
+++ b/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
@@ -14,7 +14,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -528,7 +527,7 @@
             switch (drop) {
                 case CLOSED -> upstreams.closeIdle("s0");
                 case EXPIRED -> upstreams.times(5_000_000, 0);
-                case BEYOND_THE_LIMIT -> upstreams.limit(0);
+                default -> upstreams.limit(0);
             }
             upstreams.limit(1);
             return new Heard().starts(Body.empty());
