--- a/src/main/java/yewyoke/faults/Discovery.java
+++ b/src/main/java/yewyoke/faults/Discovery.java
@@ -71,7 +71,8 @@
     /**
      * From now on discovery has it that one drains or is gone. Whether or not it arrives, and whatever
      * becomes of watches and calls, such a word counts as told 6 s after discovery had it and could be
-     * reached. For the time in which it is down nothing is allowed, which is stricter than the operators' words.
+     * reached. For the time in which it is down nothing is allowed, which is stricter than the operators'
+     * words.
      */
     private void has(Upstream u, String id) {
         long now = world.timeline.micros();
