--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -110,17 +110,19 @@
     /** Each step is the last one if the process is told to stop meanwhile. */
     private static void start(Path file, Path operator, EventLoop loop, Outside outside, Lifecycle life)
             throws Exception {
-        OperatorFile told = operator == null ? null : OperatorFile.read(operator);
-        if (told != null) {
-            Logs.use(told.log());
-        }
-        // On the loop, where the node is made: before that there is none, and it reads the new file anyway.
+        // On the loop, where files are read first, too: of two readings the later one holds. Before a node is
+        // made there is none, and it reads the new file anyway.
         life.onReload(() -> loop.execute(() -> {
             if (life.node() != null) {
                 life.node().reload();
             }
             reload(operator);
         }));
+        OperatorFile told = operator == null ? null : loop.submit(() -> {
+            OperatorFile read = OperatorFile.read(operator);
+            Logs.use(read.log());
+            return read;
+        }).sync().getNow();
         Config first = Config.read(file);
         Figures figures = new Figures();
         InetSocketAddress ops = door(first, System.getenv("NODE_OPS"));
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -122,7 +122,7 @@
     /**
      * Lets clients in; cancelled if the stop comes first. One that replaces another waits for the list: from
      * the moment it listens the system deals part of the clients to it, and the other one still serves them
-     * better.
+     * better. Once that one is told to stop or gone, clients have no better place.
      */
     public Future<Void> listening() {
         Promise<Void> done = loop.newPromise();
@@ -135,7 +135,7 @@
             done.cancel(false);
             return;
         }
-        if (twin.lives() && !driver.ready()) {
+        if (twin.listens() && !driver.ready()) {
             loop.schedule(() -> listen(done), LOOK_MS, TimeUnit.MILLISECONDS);
             return;
         }
--- a/src/test/java/yewyoke/node/StopCrossingsTest.java
+++ b/src/test/java/yewyoke/node/StopCrossingsTest.java
@@ -352,6 +352,22 @@
         }
     }
 
+    /** It waits for the list only as long as the other one serves: after that nobody would. */
+    @Test
+    void successorThatWaitsForTheListLetsClientsInOnceTheOtherStops() throws Exception {
+        listen = freeAddress();
+        start(list(0, true), server(HANG));
+        Node successor = Node.start(folder.resolve("config.json"), group.next(), figures, folder, Shelf.NONE);
+        Future<Void> listening = successor.listening();
+        group.next().submit(() -> { }).sync();
+        assertFalse(listening.isDone());
+        running.stop();
+        assertTrue(listening.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(listening.isSuccess());
+        assertDone(successor.stop());
+        successor.close();
+    }
+
     @Test
     void twinsTellWhoListens() throws Exception {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 8080);
