--- a/src/main/java/yewyoke/http1/client/Drain.java
+++ b/src/main/java/yewyoke/http1/client/Drain.java
@@ -81,7 +81,7 @@
         settle();
     }
 
-    /** Whether each answer is the last on its connection: until the end only if there is another place to go. */
+    /** Whether each answer is the last on its connection: before the end only with another place to go. */
     boolean isLeaving() {
         return phase.compareTo(Phase.ENDING) >= 0
                 // Only then: those who connect anew must not meet the listener that is about to close.
@@ -119,7 +119,7 @@
     }
 
     /**
-     * Ends one resting connection at a time: between two the loop reads what has come. All in one go, requests
+     * Ends one resting connection at a time: between two the loop reads what came. All in one go, requests
      * that came while the first ones were being ended would be lost with the last ones.
      */
     private void endResting() {
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -45,7 +45,7 @@
     public static void main(String[] args) throws Exception {
         if (path(System.getenv("NODE_OPERATOR")) != null && !Wide.already()) {
             if (serves(args)) {
-                new Lifecycle(System.err, System::exit).listenTo(Signals::ofSystem); // until the real one does
+                new Lifecycle(System.err, System::exit).listenTo(Signals::ofSystem); // until its own does
             }
             Wide.main(args); // what the operator's file switches on needs libraries of its own
             return;
@@ -99,7 +99,7 @@
             group = new MultiThreadIoEventLoopGroup(1, RestingIo.factory());
             start(Path.of(config), path(System.getenv("NODE_OPERATOR")), group.next(), outside, life);
             return 0;
-        } catch (Exception | Error e) { // an Error, too: the threads begun would keep the JVM and serve nobody
+        } catch (Exception | Error e) { // an Error, too: threads begun would keep the JVM and serve nobody
             if (group != null) {
                 group.shutdownGracefully();
             }
--- a/src/main/java/yewyoke/node/Node.java
+++ b/src/main/java/yewyoke/node/Node.java
@@ -45,7 +45,7 @@
     private Promise<Void> stopped;
     private long toldAt;
 
-    /** Whether clients can get in; {@link #listen} and {@link #stop} lead from one to the next, on the loop. */
+    /** Whether clients can get in; {@link #listen} and {@link #stop} lead on, on the loop. */
     private enum Phase { CLOSED, BINDING, OPEN, STOPPING }
 
     private Node(Transport transport, ConfigSource source, Figures figures, Twin twin, Config config,
--- a/src/main/java/yewyoke/node/StopTimes.java
+++ b/src/main/java/yewyoke/node/StopTimes.java
@@ -4,7 +4,7 @@
 import yewyoke.http1.client.DrainTimes;
 
 /**
- * When a stop does what, in milliseconds after SIGTERM; docs/shutdown.md has the same as a table. All of it fits
+ * When a stop does what, in milliseconds after SIGTERM; docs/shutdown.md has it as a table. All of it fits
  * in before SIGKILL if the times are in order for the shortest deadline there is:
  * 400 &lt; {@link #ACCEPT_MS}, and {@link #LAST_REQUEST_MS} &gt; {@link #LAST_ANSWER_MS} &gt;
  * {@link #CLOSE_MS} &gt; 0, each counted back from SIGKILL.
@@ -15,7 +15,7 @@
     /** SIGKILL comes so long after SIGTERM and the longest deadline, which counts for 3 s at most. */
     static final long KILL_MS = 700;
     static final long LONGEST_DEADLINE_MS = 3_000;
-    /** So long before SIGKILL no connection is kept any more: a request read later has this for its answer. */
+    /** So long before SIGKILL no connection is kept any more: a request read later has this for an answer. */
     static final long LAST_REQUEST_MS = 700;
     /** What SIGKILL finds unanswered is lost: so long before it the last answers go out. */
     static final long LAST_ANSWER_MS = 250;
--- a/src/test/java/yewyoke/node/DescriptorsTest.java
+++ b/src/test/java/yewyoke/node/DescriptorsTest.java
@@ -51,8 +51,8 @@
     }
 
     private void program(Path config, InetSocketAddress door) throws IOException {
-        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + (sockets - JARS + jarsOfTheTest())
-                + "; exec \"$@\"", "sh"));
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n "
+                + (sockets - JARS + jarsOfTheTest()) + "; exec \"$@\"", "sh"));
         command.addAll(Program.ofClassPath(System.getProperty("java.class.path")).plain());
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(key -> key.startsWith("NODE_"));
--- a/src/test/java/yewyoke/node/StartCrossingsTest.java
+++ b/src/test/java/yewyoke/node/StartCrossingsTest.java
@@ -242,7 +242,7 @@
         assertTrue(exits.isEmpty());
     }
 
-    // ---- The program itself --------------------------------------------------------------------------------
+    // ---- The program itself ----------------------------------------------------------------------------
 
     private Process program(Path config, Map<String, String> more, String... options) throws IOException {
         List<String> command = new ArrayList<>(Program.ofClassPath(System.getProperty("java.class.path"))
@@ -261,7 +261,8 @@
     }
 
     private void signal(Process child, String signal) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + signal, Long.toString(child.pid())).start().waitFor());
+        assertEquals(0, new ProcessBuilder("kill", "-" + signal, Long.toString(child.pid())).start()
+                .waitFor());
     }
 
     private static int exit(Process child) throws InterruptedException {
@@ -269,7 +270,7 @@
         return child.exitValue();
     }
 
-    /** The file is a pipe, which keeps the start where it reads its configuration until the test writes it. */
+    /** The file is a pipe, which keeps the start where it reads its configuration until the test writes. */
     @Test
     void signalWhileTheConfigurationIsReadIsAnEndInOrder() throws Exception {
         Path pipe = folder.resolve("pipe");
@@ -283,7 +284,7 @@
         assertEquals("stopping\nstopped\n", Files.readString(folder.resolve("log")));
     }
 
-    /** All of it at once: a reload, the stop while that may be under way, told again, and a reload in the stop. */
+    /** All of it at once: a reload, the stop while that may go on, told again, and a reload in the stop. */
     @Test
     void programToldToStopInTheMiddleOfAReloadAnswersAllAndEndsWell() throws Exception {
         Server discovery = server(HANG);
--- a/src/test/java/yewyoke/node/StopCrossingsTest.java
+++ b/src/test/java/yewyoke/node/StopCrossingsTest.java
@@ -172,7 +172,7 @@
 
     // ---- The last answers ----------------------------------------------------------------------------
 
-    /** Many connections take a while to end one by one: requests on the last ones come after the last answers. */
+    /** Many connections take a while to end one by one: requests on some come after the last answers. */
     @Test
     void requestsAfterTheLastAnswersAreAnsweredAtOnceAndNotSentOn() throws Exception {
         Server upstream = server(SERVE);
@@ -270,7 +270,7 @@
     /** SIGKILL comes by the shorter ones, which leave 0.75 s; by the longer ones there were 3.45 s. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void deadlinesShortenedUnderAnOpenRequestBringTheLastAnswersForward(boolean reloadFirst) throws Exception {
+    void deadlinesShortenedUnderAnOpenRequestBringTheAnswersForward(boolean reloadFirst) throws Exception {
         CountDownLatch taken = new CountDownLatch(1);
         start(server((m, s) -> taken.countDown()));
         Client open = client().write(submit());
@@ -404,7 +404,8 @@
         assertEquals(Long.toString(StopTimes.CLOSE_MS), row(page, "close").get(1));
         String text = String.join(" ", page);
         assertTrue(text.contains("*longest* + " + StopTimes.KILL_MS + " ms"));
-        assertTrue(text.contains(String.format(Locale.ROOT, "%,d ms at most", StopTimes.LONGEST_DEADLINE_MS)));
+        assertTrue(text.contains(String.format(Locale.ROOT, "%,d ms at most",
+                StopTimes.LONGEST_DEADLINE_MS)));
     }
 
     /** Whatever the longest deadline, all of it comes in order and before SIGKILL. */
@@ -414,7 +415,7 @@
         for (long ms : longest) {
             DrainTimes t = StopTimes.of(ms);
             long kill = Math.min(ms, 3_000) + 700;
-            assertTrue(400 < Math.min(t.acceptMs(), t.lastAnswerMs()), "new connections come for so long: " + t);
+            assertTrue(400 < Math.min(t.acceptMs(), t.lastAnswerMs()), "new ones come for so long: " + t);
             assertTrue(t.acceptMs() <= t.keepMs(), t.toString());
             assertTrue(ms < 50 || t.keepMs() <= t.lastAnswerMs(), t.toString());
             assertTrue(t.lastAnswerMs() < t.closeMs() && t.closeMs() < kill, t.toString());
