A held request is not sent to the home of its key that drained or was replaced

Waiting.sendHome asked nothing of the list: r.home is found when a request is held, and stays the ended process, whose entry is warm or ready. That passes rule 4's budget by, and rule 3's drain. Test aHeldRequestIsNotSentToItsHomeThatDrains: red without ({u0=1} instead of nothing), green with.

--- a/src/main/java/yewyoke/decide/Waiting.java
+++ b/src/main/java/yewyoke/decide/Waiting.java
@@ -42,7 +42,7 @@
     private static void sendHome(Books b, long now) {
         boolean panic = Health.panic(b.ups.all(), now);
         for (OpenRequest r : b.held.all()) {
-            if (r.home != null && !r.late && Pick.hasRoom(b, r.home, r, now)
+            if (r.home != null && !r.late && b.ups.has(r.home) && Pick.hasRoom(b, r.home, r, now)
                     && Pick.mayTake(b, r.home, r, now, panic)) {
                 Attempts.send(b, r, r.home, now);
             }
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -580,6 +580,35 @@
         assertTrue(Collections.max(served.values()) >= 11, served.toString());
     }
 
+    /** Two requests of one key wait, since their home and the other upstream have as many as they may. */
+    private Host twoHeldForTheirHome(String key) {
+        config.group = 14;
+        config.probes = false;
+        config.warmKeys = true;
+        Host h = Host.of(config).list(2);
+        for (int i = 0; i < 4; i++) {
+            h.request(0, 2 * SECOND, key, 20 * MILLI);
+        }
+        assertEquals(2, h.sends.size(), h.sends.toString());
+        return h;
+    }
+
+    @Test
+    void aHeldRequestIsNotSentToItsHomeThatDrains() {
+        for (String key : List.of("one", "two", "three", "four")) {
+            Host h = twoHeldForTheirHome(key);
+            for (String id : List.of("r0", "r1")) {
+                h.change(Host.up(Integer.parseInt(h.lastUpstream(id).substring(1)), State.DRAINING, 0));
+            }
+            h.perUpstream.clear();
+            for (String id : List.of("r0", "r1")) {
+                h.end(id, Outcome.OK, 10 * MILLI, Host.report(0.6));
+            }
+            h.advance(200 * MILLI);
+            assertEquals(0, h.perUpstream.size(), key + ": " + h.perUpstream);
+        }
+    }
+
     /** One each from many balancers is a crowd that none of them sees; it ends only if each lets go. */
     @Test
     void ofManyEachLeavesACrowdedUpstreamAloneForAWhileAndOfFewNone() {
--- a/src/test/java/yewyoke/lab/sim/ColdFleet.java
+++ b/src/test/java/yewyoke/lab/sim/ColdFleet.java
@@ -46,13 +46,14 @@
      *
      * @param late the last process hears of a change so much later than the first
      * @param restarts of every second balancer: 0 none, 1 within two seconds, 2 within six
+     * @param hot of 500 keys the first gets the root of this degree of 1/500 of the requests
      * @param burst for two seconds there is so many times the traffic
      * @param lost share of the warm upstreams that are away for some seconds, untold
      */
     record Plan(int balancers, int upstreams, int cores, double work, double load, double[] weights,
             RuleFigures rules, boolean half, long late, int restarts, boolean remembers, boolean beside,
-            boolean peers, boolean probes, boolean hints, boolean keys, double burst, double lost,
-            boolean byWork) {
+            boolean peers, boolean probes, boolean hints, boolean keys, double hot, double burst,
+            double lost, boolean byWork) {
         static Plan draw(int balancers, SplittableRandom r) {
             // In a third of the seeds the budget is small: little traffic, many upstreams, a short time.
             boolean thin = r.nextInt(3) == 0;
@@ -73,7 +74,7 @@
                             (long) r.nextDouble(1e6, thin ? 1.5e6 : 3e6)),
                     r.nextBoolean(), r.nextBoolean() ? 0 : (long) r.nextDouble(0.5e6, 5e6), r.nextInt(3),
                     r.nextBoolean(), r.nextBoolean(), telling == 0, telling == 1, r.nextBoolean(),
-                    r.nextBoolean(), r.nextInt(3) == 0 ? r.nextDouble(1.5, 4) : 1,
+                    r.nextBoolean(), r.nextDouble(1, 3.5), r.nextInt(3) == 0 ? r.nextDouble(1.5, 4) : 1,
                     r.nextInt(3) == 0 ? r.nextDouble(0.2, 0.8) : 0, r.nextBoolean());
         }
 
@@ -435,7 +436,8 @@
             return new Settings(position % 2, 2, position, plan.balancers, classes, List.of(), 0.2, false,
                     new Limits(3, false, plan.probes, true, plan.peers, 20_000, true, 2 * SECOND, SECOND / 4,
                             30 * SECOND, 1), plan.rules, new Prices(0.01, 0.035, 0, 0, 0.03, 0.02),
-                    plan.probes ? Reports.BY_PROBE : Reports.IN_ANSWERS, Ratings.NONE, false, plan.keys, 5_000);
+                    plan.probes ? Reports.BY_PROBE : Reports.IN_ANSWERS, Ratings.NONE, false, plan.keys,
+                    5_000);
         }
 
         private long aim() {
@@ -475,7 +477,8 @@
             open.put(r.id, r);
             agenda.at(r.deadline, () -> deadline(r));
             balancer.request(now, new Request(r.id, c.name().equals("keyed") ? 1 : 0, 0,
-                    plan.keys ? "k" + (int) (500 * Math.pow(random.nextDouble(), 2)) : null, plan.hints ? Math.max(1, (long) work) : 0,
+                    plan.keys ? "k" + (int) (500 * Math.pow(random.nextDouble(), plan.hot)) : null,
+                    plan.hints ? Math.max(1, (long) work) : 0,
                     c.giveUp(), false, false));
         }
 
