Test of unread bytes waits until they have come, by the system's own table

Cause: connectionWithSomethingUnreadIsNotTaken[RESET] failed once in a whole verify of the upstream part (CONNECT_FAILED): nothing forced the reset to reach our end before the loop looked. It now waits for the connection's row to show bytes or another state; what it asks of the program is the same.

--- a/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
+++ b/src/test/java/yewyoke/node/UpstreamCrossingsTest.java
@@ -10,15 +10,20 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -474,7 +479,10 @@
         ask().isServed();
         BlockingQueue<Heard> next = new LinkedBlockingQueue<>();
         inOneTurn(() -> {
-            unread.deed.on(server.accepted.get(0));
+            Socket taken = server.accepted.get(0);
+            int ours = taken.getPort();
+            unread.deed.on(taken);
+            awaitUnread(ours);
             loop.execute(() -> next.add(new Heard().starts(Body.empty())));
         });
         Sockets.next(next).isServed();
@@ -482,6 +490,26 @@
         assertEquals(2, server.accepted.size());
     }
 
+    /** Until the system has something for our end at that port: bytes, or another state than established. */
+    private static void awaitUnread(int port) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
+        String restful = String.format(":%04X [0-9A-F:]+ 01 [0-9A-F]+:00000000 .*", port);
+        while (Stream.of("tcp", "tcp6").flatMap(UpstreamCrossingsTest::connections)
+                .anyMatch(line -> line.replaceFirst("^ *[0-9]+: [0-9A-F]+", "").matches(restful))) {
+            assertTrue(System.nanoTime() < end, "nothing has come");
+            Thread.onSpinWait();
+        }
+    }
+
+    private static Stream<String> connections(String family) {
+        try {
+            Path file = Path.of("/proc/net", family);
+            return Files.exists(file) ? Files.readAllLines(file).stream() : Stream.of();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Those that were busy when the limit fell are closed as they become idle. */
     @Test
     void connectionBeyondALimitThatFellMeanwhileIsNotKept() throws Exception {
