--- a/src/main/java/yewyoke/logging/RareLine.java
+++ b/src/main/java/yewyoke/logging/RareLine.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
-/** A line of the log about something that may go wrong again and again: it is written once until it ceases. */
+/** A line of the log about something that may go wrong again and again: it is written once. */
 public final class RareLine {
     /** What has not happened for so long has ceased. */
     private static final long CEASED_NS = TimeUnit.MINUTES.toNanos(1);
--- a/src/main/java/yewyoke/node/DiscoveryCall.java
+++ b/src/main/java/yewyoke/node/DiscoveryCall.java
@@ -184,8 +184,8 @@
         if (state == State.ENDED) {
             return;
         }
-        if (part.decoderResult().isFailure()
-                || part instanceof HttpResponse head && head.status().code() != HttpResponseStatus.OK.code()) {
+        if (part.decoderResult().isFailure() || part instanceof HttpResponse head
+                && head.status().code() != HttpResponseStatus.OK.code()) {
             ctx.close();
             return;
         }
--- a/src/main/java/yewyoke/node/ListFramer.java
+++ b/src/main/java/yewyoke/node/ListFramer.java
@@ -7,7 +7,7 @@
 import java.util.Arrays;
 
 /**
- * Cuts what a call to discovery says into lists. Each is one JSON object, on one line or indented over several;
+ * Cuts what a call to discovery says into lists. Each is one JSON object, on one line or indented over more;
  * between them come empty lines. A line that was torn off does not swallow the list that follows it.
  */
 final class ListFramer implements ByteProcessor {
--- a/src/test/java/yewyoke/faults/DescriptorsTest.java
+++ b/src/test/java/yewyoke/faults/DescriptorsTest.java
@@ -58,7 +58,7 @@
         assertTrue(world.heardDraining(0, "a") <= back + 2 * SECOND, "told at " + world.heardDraining(0, "a"));
     }
 
-    /** Not even one descriptor is left: one plain line however long it lasts, and then clients are let in. */
+    /** Not even one descriptor is left: one plain line for all of it, and then clients are let in. */
     @Test
     void acceptingWithoutADescriptorIsOneLine() throws Exception {
         List<LogRecord> lines = new CopyOnWriteArrayList<>();
--- a/src/test/java/yewyoke/faults/DiscoveryBudgetTest.java
+++ b/src/test/java/yewyoke/faults/DiscoveryBudgetTest.java
@@ -51,7 +51,7 @@
         }
     }
 
-    /** Discovery fails each call in one way up to a moment, and from then on serves; the change came meanwhile. */
+    /** Discovery fails each call in one way up to a moment, and from then on serves a change. */
     @ParameterizedTest
     @CsvSource({"pushed,refused", "pushed,mute", "pushed,no room", "pushed,503", "pushed,503 late",
         "pushed,reset", "pushed,endless line", "pushed,endless head", "pushed,head only",
--- a/src/test/java/yewyoke/node/DiscoveryCrossingsTest.java
+++ b/src/test/java/yewyoke/node/DiscoveryCrossingsTest.java
@@ -78,8 +78,8 @@
     }
 
     private void assertOneLine(String text) {
-        List<LogRecord> lines = logged.stream().filter(l -> l.getLevel().intValue() >= Level.WARNING.intValue())
-                .toList();
+        List<LogRecord> lines = logged.stream()
+                .filter(l -> l.getLevel().intValue() >= Level.WARNING.intValue()).toList();
         assertEquals(1, lines.size(), () -> lines.stream().map(LogRecord::getMessage).toList().toString());
         assertTrue(lines.get(0).getMessage().contains(text), lines.get(0).getMessage());
         assertEquals(1, lines.get(0).getMessage().lines().count());
