--- a/src/test/java/yewyoke/faults/DescriptorsTest.java
+++ b/src/test/java/yewyoke/faults/DescriptorsTest.java
@@ -55,7 +55,8 @@
         assertTrue(up > SOCKETS / 2, up + " clients");
         world.network.listen(world.host, FollowingNodes.DISCOVERY, world.discovery);
         world.timeline.runUntil(back + 10 * SECOND);
-    /** No descriptor is left at all: one plain line for all of it, and then clients are let in. */
+        long told = world.heardDraining(0, "a");
+        assertTrue(told <= back + 2 * SECOND, "told at " + told);
     }
 
     /** Not even one descriptor is left: one plain line for all of it, and then clients are let in. */
