--- a/src/main/java/yewyoke/node/DiscoveryCall.java
+++ b/src/main/java/yewyoke/node/DiscoveryCall.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -131,7 +132,8 @@
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                 Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, address.getHostString());
-        channel.writeAndFlush(request);
+        // Without memory for it nothing goes out, and nobody would be told before the answer is overdue.
+        channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     private void open() {
