--- a/review/standins/SecondAnswer.java
+++ b/review/standins/SecondAnswer.java
@@ -110,32 +110,14 @@
     }
 
     private void ask(String listen, String name, boolean push) {
-        Socket socket = idle.pollFirst();
         try {
-            socket = socket == null ? Balancer.connect(listen) : socket;
-            socket.setSoTimeout(6_000);
-            String head =
-                    push
-                            ? "POST /prenotazione?key=k" + name + " HTTP/1.1\r\nX-Service-Class: prenotazione\r\n"
-                                    + "Idempotency-Key: " + name + "\r\nX-Time-Left-Ms: 2000\r\nContent-Length: 4\r\n"
-                            : "GET /disponibilita?key=k" + name + " HTTP/1.1\r\nX-Service-Class: disponibilita\r\n"
-                                    + "X-Time-Left-Ms: 5000\r\n";
-            String text =
-                    head + "Host: app.svc\r\nX-Account: acme\r\nX-Correlation-Id: " + name + "\r\n\r\n"
-                            + (push ? "body" : "");
-            socket.getOutputStream().write(Http.ascii(text));
-            Http.Message answer = Http.read(Http.buffered(socket.getInputStream()));
-            if (answer == null) {
-                socket.close();
-                other.incrementAndGet();
-                record.note("client of %s: the connection ended", name);
-                return;
-            }
-            judge(name, push, answer);
-            if (answer.keepsAlive()) {
-                idle.addFirst(socket);
-            } else {
-                socket.close();
+            Socket kept = idle.pollFirst();
+            if (kept == null || !ask(kept, name, push)) {
+                // The balancer may close a connection between requests; the request is sent once more.
+                if (!ask(Balancer.connect(listen), name, push)) {
+                    other.incrementAndGet();
+                    record.note("client of %s: a new connection ended", name);
+                }
             }
         } catch (Exception e) {
             other.incrementAndGet();
@@ -143,6 +125,33 @@
         }
     }
 
+    /** Sends a request and reads its answer; false if the connection ends without one. */
+    private boolean ask(Socket socket, String name, boolean push) throws Exception {
+        socket.setSoTimeout(6_000);
+        String head =
+                push
+                        ? "POST /prenotazione?key=k" + name + " HTTP/1.1\r\nX-Service-Class: prenotazione\r\n"
+                                + "Idempotency-Key: " + name + "\r\nX-Time-Left-Ms: 2000\r\nContent-Length: 4\r\n"
+                        : "GET /disponibilita?key=k" + name + " HTTP/1.1\r\nX-Service-Class: disponibilita\r\n"
+                                + "X-Time-Left-Ms: 5000\r\n";
+        String text =
+                head + "Host: app.svc\r\nX-Account: acme\r\nX-Correlation-Id: " + name + "\r\n\r\n"
+                        + (push ? "body" : "");
+        socket.getOutputStream().write(Http.ascii(text));
+        Http.Message answer = Http.read(Http.buffered(socket.getInputStream()));
+        if (answer == null) {
+            socket.close();
+            return false;
+        }
+        judge(name, push, answer);
+        if (answer.keepsAlive()) {
+            idle.addFirst(socket);
+        } else {
+            socket.close();
+        }
+        return true;
+    }
+
     private void judge(String name, boolean push, Http.Message answer) {
         if (answer.status() != 200) {
             other.incrementAndGet();
