A request that is done leaves the policy's index by deadline at once

Cause: OpenRequests.removeIfDone took a request out of the index by id only. The one by deadline was emptied from its front alone, so each request that had ended stayed until every earlier deadline had passed. One whose body is arriving has 600 s, so that one open upload keeps all that end behind it.

Change: removeIfDone takes it out of both; the index is a TreeSet with the same order, since a removal from within a PriorityQueue walks all of it. What is decided and when is unchanged: concluded requests were skipped.

--- a/src/main/java/loadbalancer/policy/state/OpenRequests.java
+++ b/src/main/java/loadbalancer/policy/state/OpenRequests.java
@@ -3,13 +3,16 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 
-/** All open requests, by id and by deadline. */
+/**
+ * All open requests, by id and by deadline. A request that is done is in neither index, so that the
+ * size follows what is open and not what has arrived within the longest deadline.
+ */
 public final class OpenRequests {
     private final Map<String, OpenRequest> requestById = new HashMap<>();
-    private final PriorityQueue<OpenRequest> requestsByDeadline =
-            new PriorityQueue<>(
+    private final TreeSet<OpenRequest> requestsByDeadline =
+            new TreeSet<>(
                     Comparator.comparingLong(OpenRequest::deadlineMicros)
                             .thenComparingLong(OpenRequest::sequenceNumber));
     private long nextSequenceNumber;
@@ -30,13 +33,19 @@
         return requestById.get(id);
     }
 
-    /** Removes a concluded request from the index by id if none of its attempts is outstanding. */
+    /** Removes a concluded request if none of its attempts is outstanding. */
     public void removeIfDone(OpenRequest request) {
         if (request.outstandingCount() == 0) {
             requestById.remove(request.id());
+            requestsByDeadline.remove(request);
         }
     }
 
+    /** Returns the number of requests that are held, in either index. */
+    int size() {
+        return Math.max(requestById.size(), requestsByDeadline.size());
+    }
+
     /**
      * Resets the arrival time, deadline and latency objective of a request once its body is
      * complete.
@@ -52,11 +61,11 @@
      * none.
      */
     public OpenRequest earliestDeadline() {
-        return requestsByDeadline.peek();
+        return requestsByDeadline.isEmpty() ? null : requestsByDeadline.first();
     }
 
     /** Removes the request with the earliest deadline from the index by deadline. */
     public void removeEarliestDeadline() {
-        requestsByDeadline.poll();
+        requestsByDeadline.pollFirst();
     }
 }
