--- a/src/main/java/loadbalancer/faults/Process.java
+++ b/src/main/java/loadbalancer/faults/Process.java
@@ -223,6 +223,10 @@
         if (held != 0) {
             oracle.broken("leak", host + " ends with " + held + " bytes of buffers");
         }
+        long reserved = transport.memoryQuota().reservedBytes();
+        if (reserved != 0) {
+            oracle.broken("leak", host + " ends with " + reserved + " bytes reserved for peers");
+        }
         int timers = transport.virtualLoop().drainTimers();
         if (timers > MOST_TIMERS) {
             oracle.broken("leak", host + " ends with " + timers + " timers");
--- a/src/main/java/loadbalancer/faults/VirtualTransport.java
+++ b/src/main/java/loadbalancer/faults/VirtualTransport.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.Transport;
 
 /** What one process of the balancer has of the virtual world. */
@@ -21,6 +22,7 @@
     private final VirtualLoop loop;
     private final SplittableRandom random;
     private final ScarceAllocator allocator = new ScarceAllocator();
+    private final MemoryQuota memoryQuota = MemoryQuota.unlimited();
 
     /** How far the wall clock has stepped, in milliseconds. */
     private long step;
@@ -112,6 +114,11 @@
         return random;
     }
 
+    @Override
+    public MemoryQuota memoryQuota() {
+        return memoryQuota;
+    }
+
     @Override
     public Channel newOutboundChannel() {
         if (!hasDescriptor()) {
--- a/src/main/java/loadbalancer/faults/control/scale/CountingTransport.java
+++ b/src/main/java/loadbalancer/faults/control/scale/CountingTransport.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import loadbalancer.faults.process.peer.RealTime;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.Transport;
 
 /** The transport of one subscriber, which counts the bytes that come. */
@@ -56,6 +57,11 @@
         return shared.random();
     }
 
+    @Override
+    public MemoryQuota memoryQuota() {
+        return shared.memoryQuota();
+    }
+
     @Override
     public Channel newOutboundChannel() {
         return shared.newOutboundChannel();
--- a/src/main/java/loadbalancer/faults/process/program/Skewed.java
+++ b/src/main/java/loadbalancer/faults/process/program/Skewed.java
@@ -19,6 +19,7 @@
 import loadbalancer.snapshot.DirectoryStorage;
 import loadbalancer.snapshot.Storage;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.SocketTransport;
 import loadbalancer.transport.Transport;
 
@@ -159,6 +160,11 @@
             return real.random();
         }
 
+        @Override
+        public MemoryQuota memoryQuota() {
+            return real.memoryQuota();
+        }
+
         @Override
         public Channel newOutboundChannel() {
             return real.newOutboundChannel();
--- a/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
@@ -11,9 +11,8 @@
 
 /** Configures the socket options and the handler pipeline of an accepted client channel. */
 final class ClientChannelInitializer extends ChannelInitializer<Channel> {
-    /** Netty's decoder defaults with a larger chunk size for bodies. */
-    private static final HttpDecoderConfig DECODER =
-            new HttpDecoderConfig().setMaxChunkSize(32 * 1024);
+    /** Larger than Netty's default. */
+    private static final int MAX_CHUNK_BYTES = 32 * 1024;
 
     /**
      * Limits how much the kernel buffers for a slow client, so that completed writes reflect how
@@ -24,9 +23,15 @@
     /** Netty's default for the number of reads in one event-loop iteration. */
     private static final int MAX_READS_PER_LOOP = 16;
 
+    // Sizes of a read, adapted to how much arrives. A message that has arrived in part may hold a
+    // whole read buffer, and each connection may hold one.
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     /** Reads until the kernel buffer is empty, so that a FIN right after a request is detected. */
     private static final RecvByteBufAllocator READ_UNTIL_EMPTY =
-            new AdaptiveRecvByteBufAllocator()
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
                     .respectMaybeMoreData(false)
                     .maxMessagesPerRead(MAX_READS_PER_LOOP);
 
@@ -49,10 +54,12 @@
         ClientConnection connection = new ClientConnection(server, channel);
         channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
         channel.config().setRecvByteBufAllocator(READ_UNTIL_EMPTY);
+        HttpDecoderConfig decoder =
+                connection.headers().decoderConfig().setMaxChunkSize(MAX_CHUNK_BYTES);
         channel.pipeline()
                 .addLast(
                         connection.inboundMonitor(),
-                        new HttpServerCodec(DECODER),
+                        new HttpServerCodec(decoder),
                         connection.audit(),
                         connection);
     }
--- a/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.http1.codec.LimitedHttpHeadersFactory;
 
 /**
  * One client connection from accept to close. Its {@link ConnectionState} only moves forward.
@@ -32,6 +33,7 @@
     private final ClientServer server;
     private final Channel channel;
     private final InboundByteMonitor inbound;
+    private final LimitedHttpHeadersFactory headers;
     private final ResponseAudit audit;
     private final RequestReader reader;
     private final RequestSequencer sequencer;
@@ -48,10 +50,11 @@
         this.server = server;
         this.channel = channel;
         this.inbound = new InboundByteMonitor(server.transport(), this::onBytesReceived);
+        this.headers = new LimitedHttpHeadersFactory(server.transport().memoryQuota());
         this.audit =
                 new ResponseAudit(server.dispatcher().violations(), server.transport()::nanoTime);
-        this.reader = new RequestReader(inbound, server.transport()::nanoTime);
-        this.writer = new ResponseWriter(channel, this);
+        this.reader = new RequestReader(inbound, server.transport(), this::isBusy);
+        this.writer = new ResponseWriter(channel, server.transport().memoryQuota(), this);
         this.sequencer = new RequestSequencer(server, this, channel, reader, writer);
     }
 
@@ -63,6 +66,11 @@
         return inbound;
     }
 
+    /** Returns the factory for the header fields of this client's requests. */
+    LimitedHttpHeadersFactory headers() {
+        return headers;
+    }
+
     /** Returns the handler that observes all inbound and outbound HTTP messages. */
     ResponseAudit audit() {
         return audit;
@@ -104,6 +112,18 @@
         return !reader.isMidRequest();
     }
 
+    private boolean isBusy() {
+        return sequencer.isBusy();
+    }
+
+    /** Reads less or more, because memory pressure has started or ended. */
+    void memoryPressureChanged() {
+        if (state == ConnectionState.OPEN) {
+            reader.updateFlow();
+            inbound.updateReading();
+        }
+    }
+
     private void onBytesReceived() {
         if (activity == ConnectionActivity.IDLE) {
             enter(ConnectionActivity.AWAITING_REQUEST);
@@ -214,6 +234,7 @@
         leaveActivity();
         inbound.discard();
         sequencer.abandonRequests();
+        headers.close();
         server.connectionClosed(this);
     }
 
--- a/src/main/java/loadbalancer/http1/downstream/ClientServer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientServer.java
@@ -53,6 +53,16 @@
         this.validator = new RequestValidator(loadedSettings);
         this.maxConnections = maxConnections;
         this.shutdown = new GracefulShutdown(this, loop, dispatcher);
+        transport.memoryQuota().onPressureChange(this::memoryPressureChanged);
+    }
+
+    /** Connections stop reading at once, but resume in a task, since that may deliver bytes. */
+    private void memoryPressureChanged() {
+        if (transport.memoryQuota().isUnderPressure()) {
+            connections.all().forEach(ClientConnection::memoryPressureChanged);
+        } else {
+            loop.execute(() -> connections.all().forEach(ClientConnection::memoryPressureChanged));
+        }
     }
 
     /**
@@ -137,7 +147,7 @@
     RequestDescriptor validate(PipelinedRequest incoming, QueryStringDecoder uri)
             throws InvalidInputException {
         RequestDescriptor request =
-                validator.request(incoming.head, uri, incoming.body.length() != 0);
+                validator.request(incoming.head(), uri, incoming.body.length() != 0);
         if (dispatcher.isInFlight(request.id())) {
             throw new InvalidInputException("a request with this id is open");
         }
--- a/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
+++ b/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
@@ -1,17 +1,19 @@
 package loadbalancer.http1.downstream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.transport.AccumulationBuffer;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.Transport;
 
 /**
  * Receives a client's bytes before the codec does. Passes them on, buffers them up to a limit while
  * the request queue or body buffer is full, or discards them once the connection accepts no more
  * requests. Reading continues in each of these states, since only a read detects that a client has
- * disconnected. Used on the event loop only.
+ * disconnected; it stops under memory pressure while delivery is paused. Used on the event loop
+ * only.
  */
 final class InboundByteMonitor extends ChannelInboundHandlerAdapter {
     /**
@@ -34,9 +36,10 @@
 
     private final Transport transport;
     private final Runnable onBytes;
+    private final MemoryQuota quota;
+    private final AccumulationBuffer buffered;
     private State state = State.PASSING;
     private ChannelHandlerContext ctx;
-    private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private boolean resumeScheduled;
     private long discardedBytes;
     private boolean deliveredInRead;
@@ -57,6 +60,8 @@
     InboundByteMonitor(Transport transport, Runnable onBytes) {
         this.transport = transport;
         this.onBytes = onBytes;
+        this.quota = transport.memoryQuota();
+        this.buffered = new AccumulationBuffer(quota, MemoryQuota.Purpose.IN_TRANSIT);
         this.lastByteNanos = transport.nanoTime();
         this.lastReadNanos = lastByteNanos;
     }
@@ -65,10 +70,11 @@
 
     /** Stops passing bytes on and buffers those that arrive from now on. */
     void pauseDelivery() {
+        resumeScheduled = false;
         if (state == State.PASSING) {
             state = State.BUFFERING;
+            updateReading();
         }
-        resumeScheduled = false;
     }
 
     /** Resumes delivery with the buffered bytes; they are passed on after this call returns. */
@@ -85,25 +91,28 @@
         }
         resumeScheduled = false;
         state = State.PASSING;
-        ByteBuf bytes = buffered;
-        buffered = Unpooled.EMPTY_BUFFER;
+        ByteBuf bytes = buffered.take();
         if (bytes.isReadable()) {
             ctx.fireChannelRead(bytes);
             ctx.fireChannelReadComplete();
         }
-        updateAutoRead();
+        updateReading();
     }
 
     /** Permanently discards the buffered bytes and those that arrive from now on. */
     void discard() {
         state = State.DISCARDING;
-        buffered = Unpooled.EMPTY_BUFFER;
-        updateAutoRead();
+        buffered.take();
+        updateReading();
     }
 
-    private void updateAutoRead() {
+    /** Starts or stops reading, depending on the room for the bytes that are read. */
+    void updateReading() {
+        boolean hasRoom =
+                state != State.BUFFERING
+                        || !quota.isUnderPressure() && buffered.size() < MAX_READ_AHEAD_BYTES;
         if (ctx.channel().isOpen()) {
-            ctx.channel().config().setAutoRead(buffered.readableBytes() < MAX_READ_AHEAD_BYTES);
+            ctx.channel().config().setAutoRead(hasRoom);
         }
     }
 
@@ -156,15 +165,9 @@
             deliveredInRead = true;
             context.fireChannelRead(bytes);
         } else if (state == State.BUFFERING) {
-            // Copies the bytes: with a client that writes single bytes, each byte would otherwise
-            // retain a whole read buffer.
-            buffered =
-                    buffered == Unpooled.EMPTY_BUFFER
-                            ? Unpooled.buffer(bytes.readableBytes())
-                            : buffered;
-            buffered.writeBytes(bytes);
+            buffered.add(bytes);
             bytes.release();
-            updateAutoRead();
+            updateReading();
         } else {
             discardedBytes += bytes.readableBytes();
             bytes.release();
--- a/src/main/java/loadbalancer/http1/downstream/RequestReader.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestReader.java
@@ -9,28 +9,42 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.LongSupplier;
+import java.util.function.BooleanSupplier;
+import loadbalancer.http1.codec.LimitedHttpHeaders;
 import loadbalancer.proxy.RequestBody;
+import loadbalancer.transport.MemoryQuota;
+import loadbalancer.transport.Transport;
 
 /**
  * Assembles the requests of one client connection from HTTP parts and queues pipelined ones (RFC
- * 9112, section 9.3.2). Delivery pauses while the queue or the current body is full. Used on the
- * event loop only; the caller of {@link #poll} owns the returned request and releases it.
+ * 9112, section 9.3.2). Delivery pauses while the queue or the current body is full, and, under
+ * memory pressure, as soon as anything is queued behind the request in service. Sheds a request for
+ * which there is no memory. Used on the event loop only; the caller of {@link #poll} owns the
+ * returned request and releases it.
  */
 final class RequestReader {
     /** Limit of requests queued behind the one in service; a client that exceeds it is rejected. */
     private static final int MAX_PIPELINED = 8;
 
     private final InboundByteMonitor inbound;
-    private final LongSupplier nanoTime;
+    private final Transport transport;
+    private final MemoryQuota quota;
+    private final BooleanSupplier isServing;
     private final Deque<PipelinedRequest> queue = new ArrayDeque<>();
 
     /** The request that is being received; null between requests. */
     private PipelinedRequest incoming;
 
-    RequestReader(InboundByteMonitor inbound, LongSupplier nanoTime) {
+    /**
+     * Creates a reader without requests.
+     *
+     * @param isServing whether a request that was polled is still in service
+     */
+    RequestReader(InboundByteMonitor inbound, Transport transport, BooleanSupplier isServing) {
         this.inbound = inbound;
-        this.nanoTime = nanoTime;
+        this.transport = transport;
+        this.quota = transport.memoryQuota();
+        this.isServing = isServing;
     }
 
     /**
@@ -67,10 +81,19 @@
             throw new RejectedRequestException(
                     HttpResponseStatus.BAD_REQUEST, "too many requests at once");
         }
-        incoming =
-                new PipelinedRequest(
-                        head, new RequestBody(chunked ? -1 : length, nanoTime, this::updateFlow));
+        RequestBody body =
+                new RequestBody(
+                        chunked ? -1 : length, transport::nanoTime, quota, this::updateFlow);
+        incoming = new PipelinedRequest(head, body);
         queue.add(incoming);
+        if (quota.isExhausted()) {
+            shedIncoming();
+        }
+    }
+
+    private void shedIncoming() {
+        quota.countRefusal();
+        incoming.shed();
     }
 
     private static long contentLength(HttpRequest head) throws RejectedRequestException {
@@ -92,9 +115,15 @@
                 > RequestBody.MAX_BYTES) {
             throw tooLarge();
         }
-        if (content instanceof LastHttpContent) {
+        // A request in service can't be shed; of its body, no more than one read is buffered.
+        if (queue.peekLast() == request
+                && !request.body.tryReserve(content.content().readableBytes())) {
+            shedIncoming();
+        }
+        if (content instanceof LastHttpContent last) {
             incoming = null;
-            request.holdBackLast(content.content(), nanoTime.getAsLong());
+            LimitedHttpHeaders.release(last.trailingHeaders());
+            request.holdBackLast(content.content(), transport.nanoTime());
             return request;
         }
         request.body.add(content.content().retain());
@@ -108,13 +137,21 @@
      */
     void updateFlow() {
         boolean bodyHasRoom = incoming == null || incoming.body.hasRoom();
-        if (queue.size() < MAX_PIPELINED && bodyHasRoom) {
+        if (hasQueueRoom() && bodyHasRoom) {
             inbound.resumeDelivery();
         } else {
             inbound.pauseDelivery();
         }
     }
 
+    private boolean hasQueueRoom() {
+        if (!quota.isUnderPressure()) {
+            return queue.size() < MAX_PIPELINED;
+        }
+        boolean isIncomingNext = !isServing.getAsBoolean() && queue.peek() == incoming;
+        return queue.isEmpty() || isIncomingNext;
+    }
+
     /** Whether a request has been read in part. */
     boolean isMidRequest() {
         return incoming != null;
@@ -135,13 +172,14 @@
     }
 
     /**
-     * Whether the next request can be served: it is complete, or its body is too large to be
-     * buffered as a whole.
+     * Whether the next request can be served: it is complete, it was shed, or its body is too large
+     * to be buffered as a whole.
      */
     boolean isNextReady() {
         PipelinedRequest next = queue.peek();
         return next != null
                 && (next.body.isComplete()
+                        || next.isShed()
                         || next.body.receivedBytes() > RequestBody.MAX_BUFFERED_BYTES);
     }
 
--- a/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
@@ -59,6 +59,11 @@
         return serving != null;
     }
 
+    /** Whether the next request has to wait, because the service of another has not ended. */
+    boolean isBusy() {
+        return busy;
+    }
+
     /**
      * Reads the next part of the inbound stream.
      *
@@ -75,6 +80,7 @@
         if (part instanceof HttpRequest head
                 && !busy
                 && reader.hasOneQueued()
+                && !reader.isNextReady()
                 && HttpUtil.is100ContinueExpected(head)) {
             writer.writeContinue();
         }
@@ -113,9 +119,14 @@
     }
 
     private void serve(PipelinedRequest incoming) {
+        if (incoming.isShed()) {
+            serveShed(incoming);
+            return;
+        }
         RequestDescriptor request;
         try {
-            QueryStringDecoder uri = new QueryStringDecoder(RequestValidator.target(incoming.head));
+            QueryStringDecoder uri =
+                    new QueryStringDecoder(RequestValidator.target(incoming.head()));
             // Throws for invalid percent-encoding, which is rejected below.
             if (uri.path().equals(HEALTH_CHECK_PATH)) {
                 respondToHealthCheck(incoming);
@@ -123,23 +134,35 @@
             }
             request = server.validate(incoming, uri);
         } catch (InvalidInputException | IllegalArgumentException e) {
-            incoming.body.release();
+            incoming.release();
             connection.reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
             return;
         }
+        beginService(incoming);
+        servingId = request.id();
+        server.dispatcher()
+                .requestReceived(
+                        request, RequestValidator.forwarded(incoming.head()), incoming.body, this);
+    }
+
+    private void beginService(PipelinedRequest incoming) {
         busy = true;
         if (!reader.isIncoming(incoming)) {
             connection.leaveActivity();
         }
         serving = incoming;
-        servingId = request.id();
-        server.dispatcher()
-                .requestReceived(
-                        request, RequestValidator.forwarded(incoming.head), incoming.body, this);
+    }
+
+    /** Rejects a request whose head or body there was no memory for. */
+    private void serveShed(PipelinedRequest incoming) {
+        beginService(incoming);
+        if (!server.dispatcher().requestShed(incoming.shedClassName(), this)) {
+            connection.reject(HttpResponseStatus.BAD_REQUEST, "bad or missing class");
+        }
     }
 
     private void respondToHealthCheck(PipelinedRequest incoming) {
-        incoming.body.release();
+        incoming.release();
         boolean ready = server.notReadyReason().isEmpty();
         connection.closeAfterResponse(); // rare requests, so their connections are not kept alive
         respond(
@@ -228,7 +251,7 @@
         return retiring
                 || !connection.isOpen()
                 || bodyUnread
-                || serving != null && !HttpUtil.isKeepAlive(serving.head);
+                || serving != null && !serving.keepsAlive();
     }
 
     private void responseWritten(boolean last) {
@@ -237,6 +260,9 @@
             bodyCompletionPending = false;
             serving.release();
         }
+        if (serving != null) {
+            serving.releaseHead();
+        }
         serving = null;
         writer.responseCompleted();
         connection.responseWritten(last, reader.isMidRequest());
--- a/src/main/java/loadbalancer/http1/downstream/RequestValidator.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestValidator.java
@@ -82,6 +82,12 @@
                 "1".equals(headers.get(REPEAT)));
     }
 
+    /** Returns the name of the class of a request that is not validated; null if it has none. */
+    static String className(HttpRequest message) {
+        String name = message.headers().get(CLASS);
+        return name == null || name.length() > MAX_TOKEN_CHARS ? null : name;
+    }
+
     private static void requireSingleHeaders(HttpRequest message) throws InvalidInputException {
         HttpHeaders headers = message.headers();
         require(headers.getAll(HttpHeaderNames.HOST).size() <= 1, HttpHeaderNames.HOST);
--- a/src/main/java/loadbalancer/http1/downstream/ResponseWriter.java
+++ b/src/main/java/loadbalancer/http1/downstream/ResponseWriter.java
@@ -1,6 +1,7 @@
 package loadbalancer.http1.downstream;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -14,6 +15,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.math.BigDecimal;
+import loadbalancer.transport.MemoryQuota;
+import loadbalancer.transport.PendingWrites;
 
 /**
  * Writes the responses of one client connection one at a time and notifies a listener of the write
@@ -39,13 +42,15 @@
 
     private final Channel channel;
     private final Listener listener;
+    private final PendingWrites pendingBytes;
     private boolean responding;
     private int pendingWrites;
     private Runnable whenWritable;
 
-    ResponseWriter(Channel channel, Listener listener) {
+    ResponseWriter(Channel channel, MemoryQuota quota, Listener listener) {
         this.channel = channel;
         this.listener = listener;
+        this.pendingBytes = new PendingWrites(channel, quota, MemoryQuota.Purpose.RESPONSE);
     }
 
     /** Whether a response has been started and is not complete. */
@@ -126,8 +131,14 @@
         if (pendingWrites++ == 0) {
             listener.writePending();
         }
+        int bytes = message instanceof ByteBufHolder body ? body.content().readableBytes() : 0;
+        pendingBytes.started(bytes);
         channel.writeAndFlush(message)
-                .addListener(future -> writeCompleted(future.isSuccess(), written));
+                .addListener(
+                        future -> {
+                            pendingBytes.ended(bytes);
+                            writeCompleted(future.isSuccess(), written);
+                        });
     }
 
     private void writeCompleted(boolean success, Runnable written) {
@@ -141,17 +152,18 @@
             listener.writePending(); // the client makes progress, so its time limit restarts
         }
         written.run();
+        writabilityChanged();
     }
 
     /** Whether more can be written now; if not, {@code resume} runs once writing is possible. */
     boolean isWritable(Runnable resume) {
-        whenWritable = channel.isWritable() ? null : resume;
+        whenWritable = pendingBytes.isWritable() ? null : resume;
         return whenWritable == null;
     }
 
-    /** Handles a change of the channel's writability. */
+    /** Resumes a writer that waits, if more can be written now. */
     void writabilityChanged() {
-        if (whenWritable != null && channel.isWritable()) {
+        if (whenWritable != null && pendingBytes.isWritable()) {
             Runnable resume = whenWritable;
             whenWritable = null;
             resume.run();
--- a/src/main/java/loadbalancer/http1/upstream/Connector.java
+++ b/src/main/java/loadbalancer/http1/upstream/Connector.java
@@ -1,8 +1,10 @@
 package loadbalancer.http1.upstream;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.AttemptOutcome;
@@ -10,6 +12,14 @@
 
 /** Opens connections to endpoints. Used on the event loop only. */
 final class Connector {
+    // Sizes of a read, adapted to how much arrives. Under memory pressure, each streamed response
+    // may still hold one read buffer that its client has not taken.
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 32 * 1024;
+    private static final RecvByteBufAllocator READ_SIZES =
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+
     private final Transport transport;
     private final ConnectionPool pool;
     private int connectTimeoutMillis;
@@ -31,8 +41,7 @@
     void connect(UpstreamEndpoint endpoint, RequestExchange exchange) {
         ChannelFuture connecting;
         try {
-            connecting =
-                    transport.connect(endpoint.address(), connectTimeoutMillis, Connector::prepare);
+            connecting = transport.connect(endpoint.address(), connectTimeoutMillis, this::prepare);
         } catch (ChannelException e) {
             exchange.endLater(AttemptOutcome.CONNECT_FAILED); // no file descriptor for a socket
             return;
@@ -65,8 +74,10 @@
                 new UpstreamConnection(transport, pool, endpoint, endpoint.incarnation(), channel));
     }
 
-    private static void prepare(Channel channel) {
+    private void prepare(Channel channel) {
         channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
-        channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder());
+        channel.config().setRecvByteBufAllocator(READ_SIZES);
+        channel.pipeline()
+                .addLast(new HttpRequestEncoder(), new ResponseDecoder(transport.memoryQuota()));
     }
 }
--- a/src/main/java/loadbalancer/http1/upstream/Http1UpstreamTransport.java
+++ b/src/main/java/loadbalancer/http1/upstream/Http1UpstreamTransport.java
@@ -1,7 +1,6 @@
 package loadbalancer.http1.upstream;
 
 import io.netty.channel.Channel;
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,7 +22,7 @@
     /** Interval of the idle timeout check, which is short in relation to the timeout. */
     private static final long SWEEP_INTERVAL_MILLIS = 250;
 
-    private final EventLoop loop;
+    private final Transport transport;
     private final Map<String, UpstreamEndpoint> endpoints = new HashMap<>();
     private final ConnectionPool pool;
     private final Connector connector;
@@ -40,12 +39,12 @@
             long connectTimeoutMicros,
             long connectIdleMicros,
             int maxConnections) {
-        this.loop = transport.loop();
+        this.transport = transport;
         this.pool = new ConnectionPool(transport, endpoints.values(), maxConnections);
         this.connector = new Connector(transport, pool);
         setTimeouts(connectTimeoutMicros, connectIdleMicros);
         RepeatingTask.every(
-                loop,
+                transport.loop(),
                 SWEEP_INTERVAL_MILLIS,
                 "closing idle connections to upstreams",
                 pool::closeExpired);
@@ -111,7 +110,7 @@
 
     @Override
     public Attempt start(String id, RequestHead head, RequestBody body, Listener listener) {
-        RequestExchange exchange = new RequestExchange(loop, head, body, listener);
+        RequestExchange exchange = new RequestExchange(transport, head, body, listener);
         UpstreamEndpoint endpoint = endpoints.get(id);
         if (endpoint == null || !endpoint.isReady()) {
             exchange.endLater(AttemptOutcome.CONNECT_FAILED);
--- a/src/main/java/loadbalancer/http1/upstream/RequestExchange.java
+++ b/src/main/java/loadbalancer/http1/upstream/RequestExchange.java
@@ -21,6 +21,9 @@
 import loadbalancer.proxy.RequestBody;
 import loadbalancer.proxy.RequestHead;
 import loadbalancer.proxy.UpstreamTransport;
+import loadbalancer.transport.MemoryQuota;
+import loadbalancer.transport.PendingWrites;
+import loadbalancer.transport.Transport;
 
 /**
  * One attempt over HTTP/1.1: waits for its connection, writes the request, and reports its outcome
@@ -40,6 +43,7 @@
     }
 
     private final EventLoop loop;
+    private final MemoryQuota quota;
     private final HttpRequest head;
     private final RequestBody body;
     private final UpstreamTransport.Listener listener;
@@ -48,6 +52,9 @@
     /** The channel that is closed if the attempt is abandoned; null if the attempt has none. */
     private Channel channel;
 
+    /** The body bytes that are streamed; null before the request begins. */
+    private PendingWrites pendingBytes;
+
     /**
      * The write of the request's last byte; null before that write. Its listeners may run one
      * event-loop iteration after its completion.
@@ -55,11 +62,12 @@
     private ChannelPromise lastWrite;
 
     RequestExchange(
-            EventLoop loop,
+            Transport transport,
             RequestHead head,
             RequestBody body,
             UpstreamTransport.Listener listener) {
-        this.loop = loop;
+        this.loop = transport.loop();
+        this.quota = transport.memoryQuota();
         this.head = toHttpRequest(head, body);
         this.body = body;
         this.listener = listener;
@@ -94,6 +102,7 @@
         if (listener.mayBegin() && state != State.ENDED) {
             state = State.SENDING;
             channel = connection.channel();
+            pendingBytes = new PendingWrites(channel, quota, MemoryQuota.Purpose.IN_TRANSIT);
             connection.begin(this);
             announceTimeLeft();
             writeRequest();
@@ -150,7 +159,17 @@
 
     @Override
     public void write(ByteBuf bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(bytes));
+        int count = bytes.readableBytes();
+        pendingBytes.started(count);
+        channel.writeAndFlush(new DefaultHttpContent(bytes))
+                .addListener(future -> writeEnded(count));
+    }
+
+    private void writeEnded(int count) {
+        pendingBytes.ended(count);
+        if (state == State.SENDING && !pendingBytes.isPending()) {
+            body.writabilityChanged();
+        }
     }
 
     @Override
@@ -160,7 +179,7 @@
 
     @Override
     public boolean isWritable() {
-        return channel.isWritable();
+        return pendingBytes.isWritable();
     }
 
     /** Handles a change of the connection's writability. */
--- a/src/main/java/loadbalancer/http1/upstream/ResponseDecoder.java
+++ b/src/main/java/loadbalancer/http1/upstream/ResponseDecoder.java
@@ -2,12 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import loadbalancer.http1.codec.LimitedHttpHeadersFactory;
+import loadbalancer.transport.MemoryQuota;
 
 /**
  * Decodes the responses on one upstream connection and detects surplus bytes that belong to no
@@ -21,6 +22,7 @@
     /** Limit of the bytes before the final head is complete: eight heads of maximum size. */
     private static final int MAX_BYTES_BEFORE_HEAD = 8 * HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE;
 
+    private final LimitedHttpHeadersFactory headers;
     private boolean responseExpected;
     private boolean headReceived;
 
@@ -29,8 +31,13 @@
 
     private boolean surplus;
 
-    ResponseDecoder() {
-        super(new HttpDecoderConfig().setMaxChunkSize(MAX_CHUNK_BYTES));
+    ResponseDecoder(MemoryQuota quota) {
+        this(new LimitedHttpHeadersFactory(quota));
+    }
+
+    private ResponseDecoder(LimitedHttpHeadersFactory headers) {
+        super(headers.decoderConfig().setMaxChunkSize(MAX_CHUNK_BYTES));
+        this.headers = headers;
     }
 
     /** Expects the response to a request that is about to be written. */
@@ -49,6 +56,12 @@
     void responseCompleted() {
         responseExpected = false;
         surplus = actualReadableBytes() > 0;
+        headers.releaseAll();
+    }
+
+    /** Stops counting the memory of header fields. Called when the connection is closed. */
+    void closeHeaders() {
+        headers.close();
     }
 
     /** Whether bytes that belong to no response have arrived. */
--- a/src/main/java/loadbalancer/http1/upstream/ResponseReader.java
+++ b/src/main/java/loadbalancer/http1/upstream/ResponseReader.java
@@ -1,7 +1,5 @@
 package loadbalancer.http1.upstream;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -15,18 +13,23 @@
 import loadbalancer.proxy.RequestBody;
 import loadbalancer.proxy.ResponseStream;
 import loadbalancer.proxy.UpstreamTransport;
+import loadbalancer.transport.AccumulationBuffer;
 import loadbalancer.transport.InboundSide;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.Transport;
 
 /**
- * Reads the response to one request. A small response is buffered; a large successful one is
- * streamed to the client as it arrives. Used on the event loop only; the receiver of the response
- * owns the buffered body.
+ * Reads the response to one request. A small response is buffered; a large successful one, or one
+ * that there is no memory to buffer, is streamed to the client as it arrives. Used on the event
+ * loop only; the receiver of the response owns the buffered body.
  */
 final class ResponseReader {
     /** Time without received bytes, while reading is enabled, after which a response is aborted. */
     private static final long STALL_TIMEOUT_MILLIS = 10_000;
 
+    /** Size in bytes up to which a response is buffered even if the memory quota is exhausted. */
+    private static final int ALWAYS_BUFFERED_BYTES = 4 * 1024;
+
     private static final String UNPROCESSED_HEADER = "X-Unprocessed";
     private static final String LOAD_REPORT_HEADER = "X-Backend-Load";
     private static final int STATUS_OK = 200;
@@ -52,9 +55,9 @@
     private final Transport transport;
     private final Channel channel;
     private final RequestExchange exchange;
+    private final AccumulationBuffer buffered;
     private State state = State.AWAITING_HEAD;
     private HttpResponse head;
-    private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private long receivedBytes;
     private long lastReceivedNanos;
     private ResponseStream stream;
@@ -63,6 +66,8 @@
         this.transport = transport;
         this.channel = channel;
         this.exchange = exchange;
+        this.buffered =
+                new AccumulationBuffer(transport.memoryQuota(), MemoryQuota.Purpose.RESPONSE);
     }
 
     RequestExchange exchange() {
@@ -126,19 +131,20 @@
             return;
         }
         long length = HttpUtil.getContentLength(head, -1L);
-        if (stream == null
-                && head.status().code() == STATUS_OK
-                && (receivedBytes > RequestBody.MAX_BUFFERED_BYTES
-                        || length > RequestBody.MAX_BUFFERED_BYTES)) {
+        boolean mayBuffer =
+                stream == null
+                        && receivedBytes <= RequestBody.MAX_BUFFERED_BYTES
+                        && length <= RequestBody.MAX_BUFFERED_BYTES
+                        && hasMemory(content.content().readableBytes());
+        if (stream == null && head.status().code() == STATUS_OK && !mayBuffer) {
             stream = exchange.listener().responseStarted(length);
             if (stream == null) {
                 state = State.UNWANTED;
                 return;
             }
             state = State.STREAMING;
-            if (buffered.isReadable()) {
-                stream.write(buffered);
-                buffered = Unpooled.EMPTY_BUFFER;
+            if (buffered.size() > 0) {
+                stream.write(buffered.take());
             }
         }
         if (stream != null) {
@@ -146,12 +152,16 @@
             if (!last && !stream.isWritable(this::resume)) {
                 channel.config().setAutoRead(false);
             }
-        } else if (receivedBytes <= RequestBody.MAX_BUFFERED_BYTES) {
-            buffer(content.content());
+        } else if (mayBuffer) {
+            buffered.add(content.content());
         }
         state = last ? State.COMPLETE : state;
     }
 
+    private boolean hasMemory(int byteCount) {
+        return receivedBytes <= ALWAYS_BUFFERED_BYTES || buffered.tryReserve(byteCount);
+    }
+
     /**
      * Whether the end of the connection is a valid end of the response. A response with neither a
      * length nor chunked encoding ends with its connection (RFC 9112, section 6.3), and only with a
@@ -165,16 +175,6 @@
                 && InboundSide.hasEnded(channel);
     }
 
-    private void buffer(ByteBuf bytes) {
-        if (bytes.isReadable()) {
-            buffered =
-                    buffered == Unpooled.EMPTY_BUFFER
-                            ? Unpooled.buffer(bytes.readableBytes())
-                            : buffered;
-            buffered.writeBytes(bytes);
-        }
-    }
-
     private void resume() {
         lastReceivedNanos = transport.nanoTime();
         channel.config().setAutoRead(true);
@@ -193,9 +193,16 @@
         if (stream != null && !exchange.isEnded()) {
             stream.end(false);
         }
+        buffered.take();
         exchange.endWith(outcome, null);
     }
 
+    /** Drops a response whose connection is lost before any of it was passed on. */
+    void connectionLost() {
+        buffered.take();
+        exchange.connectionLost();
+    }
+
     /** Ends the attempt with a complete response. */
     void complete() {
         if (stream != null && !exchange.isEnded()) {
@@ -203,7 +210,8 @@
         }
         exchange.endWith(
                 outcomeOfStatus(),
-                new UpstreamTransport.Response(head.headers().get(LOAD_REPORT_HEADER), buffered));
+                new UpstreamTransport.Response(
+                        head.headers().get(LOAD_REPORT_HEADER), buffered.take()));
     }
 
     /** Whether the endpoint keeps the connection open after a complete response. */
--- a/src/main/java/loadbalancer/http1/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/http1/upstream/UpstreamConnection.java
@@ -184,6 +184,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.remove(this);
+        decoder.closeHeaders();
         if (response == null) {
             return;
         }
@@ -192,7 +193,7 @@
         } else if (response.isStreaming()) {
             abort(response.exchange().outcomeOfConnectionLoss());
         } else {
-            response.exchange().connectionLost();
+            response.connectionLost();
             response = null;
         }
     }
--- a/src/main/java/loadbalancer/node/NodeComponents.java
+++ b/src/main/java/loadbalancer/node/NodeComponents.java
@@ -37,6 +37,7 @@
             SiblingProcess sibling,
             boolean isSiblingRunning) {
         Transport transport = dependencies.transport();
+        dependencies.metrics().enableMemory(transport.memoryQuota());
         ConfigOverlay overlay = dependencies.overlay();
         ConnectionLimits limits = ConnectionLimits.of(config.maxDescriptors(), isSiblingRunning);
         UpstreamTransport upstreams = upstreams(transport, config, limits);
--- a/src/main/java/loadbalancer/proxy/ProcessMetrics.java
+++ b/src/main/java/loadbalancer/proxy/ProcessMetrics.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
+import loadbalancer.transport.MemoryQuota;
 
 /**
  * Holds the metrics of this process since its start. One thread writes, any thread reads; metrics
@@ -35,6 +36,9 @@
     private volatile int listedEndpoints;
     private volatile int avoidedEndpoints;
 
+    /** Null until the process has a transport. */
+    private volatile MemoryQuota memoryQuota;
+
     /** Null in a balancer that is configured by its local file alone. */
     private volatile ControlMetrics control;
 
@@ -86,6 +90,11 @@
         return violations;
     }
 
+    /** Adds metrics of the memory that connections hold. */
+    public void enableMemory(MemoryQuota quota) {
+        memoryQuota = quota;
+    }
+
     /** Adds metrics of the control plane, and returns them for updates. */
     public ControlMetrics enableControl() {
         control = new ControlMetrics();
@@ -123,10 +132,20 @@
                 appendLine(out, "violations." + Violations.name(kind), violations.count(kind), 'c');
             }
         }
+        appendMemory(out);
         appendControl(out);
         return out.toString();
     }
 
+    private void appendMemory(StringBuilder out) {
+        MemoryQuota quota = memoryQuota;
+        if (quota != null) {
+            appendLine(out, "peer_memory_bytes", quota.reservedBytes(), 'g');
+            appendLine(out, "peer_memory_limit_bytes", quota.limitBytes(), 'g');
+            appendLine(out, "peer_memory_refusals", quota.refusals(), 'c');
+        }
+    }
+
     private void appendControl(StringBuilder out) {
         ControlMetrics metrics = control;
         if (metrics != null) {
--- a/src/main/java/loadbalancer/proxy/RequestBody.java
+++ b/src/main/java/loadbalancer/proxy/RequestBody.java
@@ -1,10 +1,11 @@
 package loadbalancer.proxy;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import loadbalancer.transport.AccumulationBuffer;
+import loadbalancer.transport.MemoryQuota;
 
 /**
  * Passes the body of a request from the client to an attempt. A small body stays buffered and can
@@ -19,6 +20,8 @@
     /** Size in bytes of the largest body that is accepted. */
     public static final long MAX_BYTES = 32L << 20;
 
+    private static final MemoryQuota NO_QUOTA = MemoryQuota.unlimited();
+
     /** Receives the bytes of a body for one attempt. */
     public interface Sink {
         /** Receives the next bytes, and the duty to release them. */
@@ -35,11 +38,8 @@
     private final LongSupplier nanoTime;
     private final Runnable onRoomAvailable;
 
-    /**
-     * Bytes for later attempts, copied from the read buffers. Keeping the read buffers themselves
-     * would hold one of them for each byte from a client that writes byte by byte.
-     */
-    private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
+    /** Bytes for later attempts. */
+    private final AccumulationBuffer buffered;
 
     private long received;
     private boolean replayable = true;
@@ -60,18 +60,21 @@
      *
      * @param length size in bytes, -1 if unknown
      * @param nanoTime the monotonic clock
+     * @param quota limits the memory of the buffered bytes
      * @param onRoomAvailable runs whenever {@link #hasRoom} may have become true
      */
-    public RequestBody(long length, LongSupplier nanoTime, Runnable onRoomAvailable) {
+    public RequestBody(
+            long length, LongSupplier nanoTime, MemoryQuota quota, Runnable onRoomAvailable) {
         this.length = length;
         this.nanoTime = nanoTime;
         this.unblockedSinceNanos = nanoTime.getAsLong();
         this.onRoomAvailable = onRoomAvailable;
+        this.buffered = new AccumulationBuffer(quota, MemoryQuota.Purpose.REQUEST_BODY);
     }
 
     /** Returns a complete body of 0 bytes. */
     public static RequestBody empty() {
-        RequestBody body = new RequestBody(0, () -> 0, () -> {});
+        RequestBody body = new RequestBody(0, () -> 0, NO_QUOTA, () -> {});
         body.complete = true;
         return body;
     }
@@ -98,6 +101,15 @@
         }
     }
 
+    /**
+     * Reserves memory for the next bytes.
+     *
+     * @return false if the quota has no room for them
+     */
+    public boolean tryReserve(int byteCount) {
+        return released || !replayable || buffered.tryReserve(byteCount);
+    }
+
     /** Adds the next bytes, which the caller hands over; the body releases them. */
     public void add(ByteBuf bytes) {
         received += bytes.readableBytes();
@@ -106,11 +118,7 @@
             return;
         }
         if (replayable) {
-            buffered =
-                    buffered == Unpooled.EMPTY_BUFFER
-                            ? Unpooled.buffer(bytes.readableBytes())
-                            : buffered;
-            buffered.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+            buffered.add(bytes);
         }
         if (sink != null) {
             sink.write(bytes);
@@ -133,7 +141,7 @@
     /** Sends the buffered bytes, and from then on all that arrive, to an attempt. */
     public void attach(Sink next) {
         sink = next;
-        if (buffered.isReadable()) {
+        if (buffered.size() > 0) {
             next.write(content());
         }
         stopBufferingIfLarge();
@@ -161,13 +169,13 @@
     private void stopBufferingIfLarge() {
         if (received > MAX_BUFFERED_BYTES && sink != null) {
             replayable = false;
-            buffered = Unpooled.EMPTY_BUFFER;
+            buffered.take();
         }
     }
 
     /** Returns the buffered bytes, which the caller has to release. */
     public ByteBuf content() {
-        return buffered.retainedDuplicate();
+        return buffered.content();
     }
 
     /** Returns whether all bytes so far are buffered, so that another attempt can send them. */
@@ -214,7 +222,7 @@
     public void release() {
         released = true;
         sink = null;
-        buffered = Unpooled.EMPTY_BUFFER;
+        buffered.take();
         updateFlow();
         onRoomAvailable.run();
     }
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -6,6 +6,7 @@
 import loadbalancer.AttemptOutcome;
 import loadbalancer.EndpointListUpdateType;
 import loadbalancer.LoadBalancer;
+import loadbalancer.LoadBalancerLimits;
 import loadbalancer.LoadBalancerSnapshot;
 import loadbalancer.RequestDescriptor;
 import loadbalancer.proxy.ProcessMetrics.Ending;
@@ -26,6 +27,9 @@
     /** Interval at which the endpoint counts in the metrics are updated. */
     private static final long ENDPOINT_COUNT_INTERVAL_MILLIS = 100;
 
+    /** Retry-After of a request that was shed: memory is free again once others have ended. */
+    private static final long SHED_RETRY_AFTER_MICROS = TimeUnit.SECONDS.toMicros(1);
+
     private final EventLoop loop;
     private final Transport transport;
     private final UpstreamTransport upstreams;
@@ -254,6 +258,26 @@
         }
     }
 
+    /**
+     * Rejects a request that was shed for want of memory, so that its client may retry it.
+     *
+     * @param className the name of its class; null if it named none
+     * @return false, without a response, if there is no such class
+     */
+    public boolean requestShed(String className, ResponseSink client) {
+        if (className == null || !settings.classNames().contains(className)) {
+            return false;
+        }
+        metrics.requestReceived();
+        metrics.requestEnded(className, Ending.DROPPED);
+        LoadBalancerLimits limits = settings.settings().limits();
+        client.respondRejected(
+                limits.isRetryAfterAllowed()
+                        ? Math.min(limits.maxRetryAfterMicros(), SHED_RETRY_AFTER_MICROS)
+                        : 0);
+        return true;
+    }
+
     /** Records that the body of a request is complete, which starts the client time-out. */
     public void bodyReceived(String id) {
         InFlightRequest request = requests.get(id);
--- a/src/main/java/loadbalancer/transport/SocketTransport.java
+++ b/src/main/java/loadbalancer/transport/SocketTransport.java
@@ -17,10 +17,20 @@
     private static final int ACCEPT_BACKLOG_CONNECTIONS = 1024;
 
     private final EventLoop loop;
+    private final MemoryQuota memoryQuota;
 
-    /** Creates a transport whose channels run on the event loop, which the caller still owns. */
+    /**
+     * Creates a transport whose channels run on the event loop, which the caller still owns. Its
+     * connections together may use a fixed fraction of the heap.
+     */
     public SocketTransport(EventLoop loop) {
+        this(loop, MemoryQuota.ofHeap());
+    }
+
+    /** Creates a transport with this memory quota for its connections. */
+    public SocketTransport(EventLoop loop, MemoryQuota memoryQuota) {
         this.loop = loop;
+        this.memoryQuota = memoryQuota;
     }
 
     @Override
@@ -43,6 +53,11 @@
         return ThreadLocalRandom.current();
     }
 
+    @Override
+    public MemoryQuota memoryQuota() {
+        return memoryQuota;
+    }
+
     @Override
     public Channel newOutboundChannel() {
         OutboundSocketChannel channel = new OutboundSocketChannel();
--- a/src/main/java/loadbalancer/transport/Transport.java
+++ b/src/main/java/loadbalancer/transport/Transport.java
@@ -12,9 +12,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One event loop with its clocks, channels and random numbers: the whole interface to the system
- * for the code that runs on the loop. The caller creates, uses and closes channels on the event
- * loop.
+ * One event loop with its clocks, channels, memory quota and random numbers: the whole interface to
+ * the system for the code that runs on the loop. The caller creates, uses and closes channels on
+ * the event loop.
  */
 public interface Transport {
     /** Bytes unsent on a connection above which its writer pauses, and below which it resumes. */
@@ -32,6 +32,9 @@
     /** Returns the random numbers for jitter between processes. */
     RandomGenerator random();
 
+    /** Returns the limit on the memory that all connections of the event loop hold together. */
+    MemoryQuota memoryQuota();
+
     /**
      * Creates a channel for an outbound connection and does not register it.
      *
--- a/src/test/java/loadbalancer/http1/upstream/RequestExchangeTest.java
+++ b/src/test/java/loadbalancer/http1/upstream/RequestExchangeTest.java
@@ -20,6 +20,7 @@
 import loadbalancer.proxy.RequestBody;
 import loadbalancer.proxy.RequestHead;
 import loadbalancer.proxy.UpstreamTransport;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.SocketTransport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -84,7 +85,8 @@
     }
 
     private static RequestBody body(int length, Runnable onRoom) {
-        RequestBody body = new RequestBody(length, System::nanoTime, onRoom);
+        RequestBody body =
+                new RequestBody(length, System::nanoTime, MemoryQuota.unlimited(), onRoom);
         body.add(Unpooled.wrappedBuffer(new byte[length]));
         return body;
     }
--- a/src/test/java/loadbalancer/node/DiscoveryRaceTest.java
+++ b/src/test/java/loadbalancer/node/DiscoveryRaceTest.java
@@ -31,6 +31,7 @@
 import loadbalancer.faults.process.peer.Sockets.Server;
 import loadbalancer.proxy.LoadBalancerFactory;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.SocketTransport;
 import loadbalancer.transport.Transport;
 import org.junit.jupiter.api.AfterEach;
@@ -438,6 +439,11 @@
             real.readAvailable(channel);
         }
 
+        @Override
+        public MemoryQuota memoryQuota() {
+            return real.memoryQuota();
+        }
+
         @Override
         public Channel newOutboundChannel() {
             if (scarce.get()) {
--- /dev/null
+++ b/src/test/java/loadbalancer/node/PeerMemoryTest.java
@@ -0,0 +1,258 @@
+package loadbalancer.node;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import loadbalancer.faults.process.peer.Sockets;
+import loadbalancer.faults.process.peer.Sockets.Client;
+import loadbalancer.faults.process.peer.Sockets.Script;
+import loadbalancer.faults.process.peer.Sockets.Server;
+import loadbalancer.faults.process.program.Program;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The program with its heap in service, among many peers that make it hold as much memory as one
+ * connection may: it goes on, and others get their responses.
+ */
+class PeerMemoryTest extends LoopbackNodeFixture {
+    private static final long USUAL_MILLIS = 5_000;
+    private static final long USUAL_INTERVAL_MILLIS = 20;
+    private static final int UPSTREAMS = 4;
+    private static final long WORK_MILLIS = 100;
+
+    /** Serves after some work, as endpoints do. */
+    private static final Script WORK =
+            (m, s) -> {
+                Thread.sleep(WORK_MILLIS);
+                SERVE.on(m, s);
+            };
+
+    private final AtomicLong crowdRequests = new AtomicLong();
+    private Process process;
+    private InetSocketAddress address;
+    private InetSocketAddress admin;
+
+    @AfterEach
+    void stopProcess() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) free.getLocalSocketAddress();
+        }
+    }
+
+    private static String text(InetSocketAddress socketAddress) {
+        return socketAddress.getHostString() + ":" + socketAddress.getPort();
+    }
+
+    private void startProgram(Script script) throws Exception {
+        address = freeAddress();
+        admin = freeAddress();
+        listen = text(address);
+        Server[] upstreams = new Server[UPSTREAMS];
+        for (int i = 0; i < UPSTREAMS; i++) {
+            upstreams[i] = server(script);
+        }
+        Path config = writeConfiguration(ready(upstreams), server(HANG));
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        Program.ofClassPath(System.getProperty("java.class.path")).plain());
+        builder.environment().keySet().removeIf(key -> key.startsWith("NODE_"));
+        builder.environment().put("NODE_CONFIG", config.toString());
+        builder.environment().put("NODE_OPS", text(admin));
+        builder.environment().put("TMPDIR", folder.toString());
+        process =
+                builder.redirectErrorStream(true)
+                        .redirectOutput(folder.resolve("log").toFile())
+                        .start();
+        while (!call("READY").startsWith("SUCCESS")) {
+            assertTrue(process.isAlive(), Files.readString(folder.resolve("log")));
+            Thread.sleep(20);
+        }
+    }
+
+    /** Returns the reply of the admin endpoint; empty while it does not listen. */
+    private String call(String line) throws IOException {
+        try (Client client = new Client(admin)) {
+            client.write(line + "\n");
+            return new String(
+                    client.socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        } catch (java.net.ConnectException e) {
+            return "";
+        }
+    }
+
+    private OptionalLong metric(String name) throws IOException {
+        return call("STATS")
+                .lines()
+                .filter(line -> line.startsWith("app." + name + ":"))
+                .map(line -> line.substring(line.indexOf(':') + 1, line.indexOf('|')))
+                .mapToLong(Long::parseLong)
+                .findFirst();
+    }
+
+    /** Connections that write all that the balancer takes, on one thread, and read nothing. */
+    private static final class Crowd implements AutoCloseable {
+        private final List<SocketChannel> channels = new ArrayList<>();
+        private final List<Iterator<ByteBuffer>> sources = new ArrayList<>();
+        private final List<ByteBuffer> pending = new ArrayList<>();
+        private final Thread writer = new Thread(this::writeAll, "crowd");
+        private volatile boolean closed;
+
+        Crowd(InetSocketAddress to, int size, Supplier<Iterator<ByteBuffer>> source)
+                throws IOException {
+            for (int i = 0; i < size; i++) {
+                SocketChannel channel = SocketChannel.open(to);
+                channel.configureBlocking(false);
+                channels.add(channel);
+                sources.add(source.get());
+                pending.add(ByteBuffer.allocate(0));
+            }
+            writer.setDaemon(true);
+        }
+
+        void start() {
+            writer.start();
+        }
+
+        private void writeAll() {
+            while (!closed) {
+                for (int i = 0; i < channels.size(); i++) {
+                    write(i);
+                }
+                Thread.onSpinWait();
+            }
+        }
+
+        private void write(int index) {
+            if (!pending.get(index).hasRemaining() && sources.get(index).hasNext()) {
+                pending.set(index, sources.get(index).next());
+            }
+            try {
+                channels.get(index).write(pending.get(index));
+            } catch (IOException e) {
+                sources.set(index, List.<ByteBuffer>of().iterator()); // closed by the balancer
+                pending.set(index, ByteBuffer.allocate(0));
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            closed = true;
+            for (SocketChannel channel : channels) {
+                channel.close();
+            }
+        }
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Fails if the process ends, or if any usual request gets no response. */
+    private void assertUsualClientsAreAnswered() throws Exception {
+        long held = 0;
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(USUAL_MILLIS);
+        for (int i = 0; System.nanoTime() < end; i++) {
+            try (Client client = new Client(address)) {
+                client.write(request("GET", "look", "2000", ""));
+                assertNotNull(client.read(), "no response, " + i + " before it: " + log());
+            } catch (IOException e) {
+                throw new AssertionError("request " + i + " is lost: " + log(), e);
+            }
+            held = Math.max(held, metric("peer_memory_bytes").orElse(Long.MAX_VALUE));
+            Thread.sleep(USUAL_INTERVAL_MILLIS);
+        }
+        assertTrue(process.isAlive(), log());
+        long limit = metric("peer_memory_limit_bytes").orElseThrow();
+        assertTrue(held <= limit, held + " bytes held, limit " + limit);
+    }
+
+    private String log() throws IOException {
+        return Files.readString(folder.resolve("log"));
+    }
+
+    /** Guards against an exhausted heap by pipelined requests with bodies, on many connections. */
+    @Test
+    void pipelinedBodiesOfManyClientsDoNotExhaustTheHeap() throws Exception {
+        startProgram(WORK);
+        String body = "x".repeat(64_000);
+        Supplier<Iterator<ByteBuffer>> uploads =
+                () ->
+                        IntStream.range(0, 200)
+                                .mapToObj(
+                                        i ->
+                                                bytes(
+                                                        upload().replace("bid", body)
+                                                                .replace(
+                                                                        "Length: 3",
+                                                                        "Length: 64000")))
+                                .iterator();
+        try (Crowd crowd = new Crowd(address, 150, uploads)) {
+            crowd.start();
+            assertUsualClientsAreAnswered();
+        }
+    }
+
+    /** Returns a request whose id is not one of the usual clients'. */
+    private String upload() {
+        return request("POST", "submit", "2000", "")
+                .replace("-Id: id-", "-Id: crowd-" + crowdRequests.incrementAndGet() + "-");
+    }
+
+    /** Guards against an exhausted heap by whole heads that are queued behind a request. */
+    @Test
+    void pipelinedHeadsOfManyClientsDoNotExhaustTheHeap() throws Exception {
+        startProgram(WORK);
+        String fields =
+                IntStream.range(0, 85)
+                        .mapToObj(i -> "f" + i + ": " + "v".repeat(80) + "\r\n")
+                        .collect(Collectors.joining());
+        Supplier<Iterator<ByteBuffer>> requests =
+                () ->
+                        IntStream.range(0, 200)
+                                .mapToObj(i -> bytes(upload().replace("Host:", fields + "Host:")))
+                                .iterator();
+        try (Crowd crowd = new Crowd(address, 450, requests)) {
+            crowd.start();
+            assertUsualClientsAreAnswered();
+        }
+    }
+
+    /** Guards against exhausted memory by responses that many clients do not read. */
+    @Test
+    void unreadResponsesToManyClientsDoNotExhaustMemory() throws Exception {
+        String large = "y".repeat(4 << 20);
+        startProgram(
+                (m, s) ->
+                        Sockets.answer(s, "200 OK", "", m.start().startsWith("GET") ? "" : large));
+        Supplier<Iterator<ByteBuffer>> requests = () -> List.of(bytes(upload())).iterator();
+        try (Crowd crowd = new Crowd(address, 350, requests)) {
+            crowd.start();
+            assertUsualClientsAreAnswered();
+        }
+    }
+}
--- a/src/test/java/loadbalancer/node/StartupTest.java
+++ b/src/test/java/loadbalancer/node/StartupTest.java
@@ -36,6 +36,7 @@
 import loadbalancer.proxy.LoadBalancerFactory;
 import loadbalancer.snapshot.Storage;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.SocketTransport;
 import loadbalancer.transport.Transport;
 import org.junit.jupiter.api.AfterEach;
@@ -157,6 +158,11 @@
             return real().random();
         }
 
+        @Override
+        public MemoryQuota memoryQuota() {
+            return MemoryQuota.unlimited();
+        }
+
         @Override
         public Channel newOutboundChannel() {
             return real().newOutboundChannel();
--- a/src/test/java/loadbalancer/node/UpstreamConnectionRaceTest.java
+++ b/src/test/java/loadbalancer/node/UpstreamConnectionRaceTest.java
@@ -37,6 +37,7 @@
 import loadbalancer.proxy.ResponseStream;
 import loadbalancer.proxy.UpstreamTransport;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.SocketTransport;
 import loadbalancer.transport.Transport;
 import org.junit.jupiter.api.BeforeEach;
@@ -795,7 +796,8 @@
 
     /** Starts a request whose last byte can't be written before the peer reads. */
     private RecordingAttempt startBlocked(boolean ended) {
-        RequestBody body = new RequestBody(BLOCKED_BYTES, System::nanoTime, () -> {});
+        RequestBody body =
+                new RequestBody(BLOCKED_BYTES, System::nanoTime, MemoryQuota.unlimited(), () -> {});
         RecordingAttempt attempt = new RecordingAttempt();
         attempt.body = body;
         body.add(Unpooled.wrappedBuffer(new byte[BLOCKED_BYTES - 1]));
@@ -999,6 +1001,11 @@
             return real.random();
         }
 
+        @Override
+        public MemoryQuota memoryQuota() {
+            return real.memoryQuota();
+        }
+
         @Override
         public Channel newOutboundChannel() {
             if (exhausted[0]) {
--- a/src/test/java/loadbalancer/proxy/DispatcherFixture.java
+++ b/src/test/java/loadbalancer/proxy/DispatcherFixture.java
@@ -27,6 +27,7 @@
 import loadbalancer.RuleLimits;
 import loadbalancer.settings.LoadedSettings;
 import loadbalancer.transport.ListeningChannel;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.Transport;
 
 /**
@@ -297,6 +298,11 @@
         throw new IllegalStateException("the fixture has no random numbers");
     }
 
+    @Override
+    public MemoryQuota memoryQuota() {
+        return MemoryQuota.unlimited();
+    }
+
     @Override
     public Channel newOutboundChannel() {
         throw new IllegalStateException("the fixture has no sockets");
--- a/src/test/java/loadbalancer/proxy/RequestBodyTest.java
+++ b/src/test/java/loadbalancer/proxy/RequestBodyTest.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import loadbalancer.transport.MemoryQuota;
 import org.junit.jupiter.api.Test;
 
 /** Buffering and streaming of request bodies, and when a client has to wait. */
@@ -36,7 +37,8 @@
     }
 
     private long now;
-    private final RequestBody body = new RequestBody(-1, () -> now, () -> {});
+    private final RequestBody body =
+            new RequestBody(-1, () -> now, MemoryQuota.unlimited(), () -> {});
 
     private void add(int bytes) {
         body.add(Unpooled.wrappedBuffer(new byte[bytes]));
@@ -92,7 +94,10 @@
     void estimatesRemainingTimeFromRateWhileNotBlocked() {
         RequestBody halfBody =
                 new RequestBody(
-                        2 * (RequestBody.MAX_BUFFERED_BYTES + CHUNK_BYTES), () -> now, () -> {});
+                        2 * (RequestBody.MAX_BUFFERED_BYTES + CHUNK_BYTES),
+                        () -> now,
+                        MemoryQuota.unlimited(),
+                        () -> {});
         halfBody.add(Unpooled.wrappedBuffer(new byte[RequestBody.MAX_BUFFERED_BYTES]));
         now = 2_000_000_000L;
         halfBody.add(Unpooled.wrappedBuffer(new byte[CHUNK_BYTES]));
