At most 100 header fields a message: unfinished heads of short fields no longer fill the heap

Cause: a field takes 136 bytes and more beside its characters once it is decoded, so 8 KiB on the wire become some 200 KiB, and nothing bounds the number of fields. It holds at every connection that waits for the rest of a head, at endpoints' answers, too.

Change: LimitedHttpHeaders, which already counts the fields' memory, takes at most 100, as Tomcat does by default. More are a malformed message: 400 for a client, a failed attempt for an endpoint. With that a head takes 26 KiB at most while it arrives.

MemoryQuotaNodeTest.headWithTooManyFieldsIsRejected and responseWithTooManyFieldsIsInvalid show both sides.

--- a/src/main/java/loadbalancer/http1/codec/LimitedHttpHeaders.java
+++ b/src/main/java/loadbalancer/http1/codec/LimitedHttpHeaders.java
@@ -4,12 +4,20 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** The header fields of one message, whose memory is reserved. Used on the event loop only. */
+/**
+ * The header fields of one message, limited in number. A decoded field takes many times the bytes
+ * that it has on the wire, so a limit on the bytes of a head alone doesn't bound its memory. Used
+ * on the event loop only.
+ */
 public final class LimitedHttpHeaders extends DefaultHttpHeaders {
+    /** Maximum number of fields in a message, as in other HTTP servers. */
+    static final int MAX_FIELDS = 100;
+
     /** Memory of a field beside its characters: the entry, and two strings with their arrays. */
     private static final int FIELD_OVERHEAD_BYTES = 136;
 
     private final LimitedHttpHeadersFactory factory;
+    private int fieldCount;
     private long heldBytes;
 
     LimitedHttpHeaders(LimitedHttpHeadersFactory factory, DefaultHttpHeadersFactory validators) {
@@ -20,10 +28,14 @@
     /**
      * Adds a field that the decoder has read.
      *
-     * @throws IllegalArgumentException if the field is invalid
+     * @throws IllegalArgumentException if the field is invalid, or there are too many fields
      */
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
+        fieldCount++;
+        if (fieldCount > MAX_FIELDS) {
+            throw new IllegalArgumentException("more than " + MAX_FIELDS + " header fields");
+        }
         super.add(name, value);
         hold(FIELD_OVERHEAD_BYTES + name.length() + value.toString().length());
         return this;
--- a/src/test/java/loadbalancer/node/MemoryQuotaNodeTest.java
+++ b/src/test/java/loadbalancer/node/MemoryQuotaNodeTest.java
@@ -203,6 +203,28 @@
         assertEquals(0, quota.refusals());
     }
 
+    @Test
+    void headWithTooManyFieldsIsRejected() throws Exception {
+        startWithQuota(SERVE);
+        Client client = client();
+        client.write(submit().replace("Host:", "a:b\r\n".repeat(100) + "Host:"));
+        assertEquals(400, client.read().status());
+        client.close();
+        awaitNothingReserved();
+    }
+
+    /**
+     * The endpoint may have run it, so it is not sent again and the client is told of a failure.
+     */
+    @Test
+    void responseWithTooManyFieldsIsInvalid() throws Exception {
+        startWithQuota((m, s) -> Sockets.answer(s, "200 OK", "a: b\r\n".repeat(100), "done"));
+        Client client = client().write(request("POST", "submit", "9000", ""));
+        assertFailed(client.read());
+        client.close();
+        awaitNothingReserved();
+    }
+
     /** Fields are counted while their head arrives, and no more once its client has gone. */
     @Test
     void fieldsOfAnIncompleteHeadAreCountedUntilTheConnectionEnds() throws Exception {
--- a/src/test/java/loadbalancer/node/PeerMemoryTest.java
+++ b/src/test/java/loadbalancer/node/PeerMemoryTest.java
@@ -223,6 +223,21 @@
                 .replace("-Id: id-", "-Id: crowd-" + crowdRequests.incrementAndGet() + "-");
     }
 
+    /** Guards against an exhausted heap by heads of many short fields that do not end. */
+    @Test
+    void unfinishedHeadsOfManyClientsDoNotExhaustTheHeap() throws Exception {
+        startProgram(WORK);
+        String head =
+                IntStream.range(0, 1_200)
+                        .mapToObj(i -> Integer.toString(i, 36) + ":b\r\n")
+                        .collect(Collectors.joining("", "GET /look HTTP/1.1\r\n", ""));
+        Supplier<Iterator<ByteBuffer>> heads = () -> List.of(bytes(head)).iterator();
+        try (Crowd crowd = new Crowd(address, 450, heads)) {
+            crowd.start();
+            assertUsualClientsAreAnswered();
+        }
+    }
+
     /** Guards against an exhausted heap by whole heads that are queued behind a request. */
     @Test
     void pipelinedHeadsOfManyClientsDoNotExhaustTheHeap() throws Exception {
