Control server: requests of all connections share the memory quota, fields are limited

No crash was shown; the role is off in `run`.

Cause: changes have a bound on their sum (16 permits of 4 MiB), but a report may have 1 MiB on each of up to two connections a subscriber and 400 more, heads had no limit on fields, and a subscription kept its request line of up to 128 KiB for as long as it lasted.

Change: IncomingRequest keeps its body in an AccumulationBuffer of the transport's quota; what does not fit is answered 503 with Retry-After, as a change beyond the permits is. Heads come from LimitedHttpHeadersFactory. A subscription drops its request.

--- a/src/main/java/loadbalancer/http1/control/ControlConnection.java
+++ b/src/main/java/loadbalancer/http1/control/ControlConnection.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.control.publish.Subscription;
+import loadbalancer.http1.codec.LimitedHttpHeadersFactory;
 
 /**
  * One connection to a control server, from accept to close. It reads one request at a time and
@@ -48,6 +49,7 @@
 
     private final ControlServer server;
     private final Channel channel;
+    private final LimitedHttpHeadersFactory headers;
     private State state = State.IDLE;
     private long stateSinceNanos;
     private IncomingRequest request;
@@ -56,9 +58,10 @@
     private boolean isWritable = true;
     private long unwritableSinceNanos;
 
-    ControlConnection(ControlServer server, Channel channel) {
+    ControlConnection(ControlServer server, Channel channel, LimitedHttpHeadersFactory headers) {
         this.server = server;
         this.channel = channel;
+        this.headers = headers;
     }
 
     void close() {
@@ -80,6 +83,8 @@
         if (state == State.RECEIVING) {
             releaseChangePermit();
         }
+        releaseRequest();
+        headers.close();
     }
 
     @Override
@@ -176,7 +181,7 @@
 
     private void receiveHead(HttpRequest head) {
         enter(State.RECEIVING);
-        request = new IncomingRequest(head);
+        request = new IncomingRequest(head, server.transport().memoryQuota());
         Optional<FullHttpResponse> rejection = request.rejectionByHead();
         if (rejection.isPresent()) {
             respondAndClose(rejection.get());
@@ -192,8 +197,12 @@
         if (state != State.RECEIVING) {
             return; // the request was rejected because of its head
         }
-        if (!request.append(content)) {
+        if (request.exceedsLimit(content)) {
             respondAndClose(request.payloadTooLarge());
+        } else if (!request.tryAppend(content)) {
+            server.transport().memoryQuota().countRefusal();
+            respondAndClose(
+                    ControlResponses.unavailable(BUSY_RETRY_MILLIS, "too much is being received"));
         } else if (content instanceof LastHttpContent) {
             server.calls().dispatch(request, this);
         }
@@ -210,6 +219,7 @@
     void startSubscription(Subscription admitted) {
         subscription = admitted;
         enter(State.SUBSCRIBED);
+        releaseRequest();
         channel.writeAndFlush(ControlResponses.subscriptionHead())
                 .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
@@ -247,12 +257,20 @@
         }
     }
 
+    private void releaseRequest() {
+        if (request != null) {
+            request.release();
+            request = null;
+        }
+        headers.releaseAll();
+    }
+
     // ---- Responses ----
 
     /** Responds to a complete request; the connection stays open if the client asked for that. */
     void respond(FullHttpResponse response) {
         if (request.isKeepAlive()) {
-            request = null;
+            releaseRequest();
             enter(State.IDLE);
             channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         } else {
@@ -266,7 +284,7 @@
      */
     void respondAndClose(FullHttpResponse response) {
         enter(State.LINGERING);
-        request = null;
+        releaseRequest();
         releaseChangePermit();
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         channel.writeAndFlush(response)
--- a/src/main/java/loadbalancer/http1/control/ControlProtocol.java
+++ b/src/main/java/loadbalancer/http1/control/ControlProtocol.java
@@ -57,17 +57,16 @@
 
     private ControlProtocol() {}
 
-    /** Returns the size limits of an HTTP decoder. */
-    static HttpDecoderConfig decoderConfig() {
-        return new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+    /** Sets the size limits of an HTTP decoder, and returns its configuration. */
+    static HttpDecoderConfig limitSizes(HttpDecoderConfig config) {
+        return config.setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
     }
 
     /** Creates the codec of a client connection. */
     static HttpClientCodec clientCodec() {
-        return new HttpClientCodec(decoderConfig(), false, false);
+        return new HttpClientCodec(limitSizes(new HttpDecoderConfig()), false, false);
     }
 
     /** Returns the {@code Host} header value of requests to a server. */
--- a/src/main/java/loadbalancer/http1/control/ControlServer.java
+++ b/src/main/java/loadbalancer/http1/control/ControlServer.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import loadbalancer.http1.codec.LimitedHttpHeadersFactory;
 import loadbalancer.transport.ListenerOpening;
 import loadbalancer.transport.RepeatingTask;
 import loadbalancer.transport.Transport;
@@ -105,10 +106,11 @@
             socket.setTcpNoDelay(true).setSendBufferSize(SEND_BUFFER_BYTES);
         }
         channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
+        LimitedHttpHeadersFactory headers = new LimitedHttpHeadersFactory(transport.memoryQuota());
         channel.pipeline()
                 .addLast(
-                        new HttpServerCodec(ControlProtocol.decoderConfig()),
-                        new ControlConnection(this, channel));
+                        new HttpServerCodec(ControlProtocol.limitSizes(headers.decoderConfig())),
+                        new ControlConnection(this, channel, headers));
     }
 
     private void endOverdue() {
--- a/src/main/java/loadbalancer/http1/control/IncomingRequest.java
+++ b/src/main/java/loadbalancer/http1/control/IncomingRequest.java
@@ -1,15 +1,15 @@
 package loadbalancer.http1.control;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Optional;
+import loadbalancer.transport.AccumulationBuffer;
+import loadbalancer.transport.MemoryQuota;
 
 /**
  * A request that is being received: its head, which identifies the call, and its body up to the
@@ -21,10 +21,12 @@
     private final HttpRequest head;
     private final QueryStringDecoder query;
     private final ControlCall call;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AccumulationBuffer body;
 
-    IncomingRequest(HttpRequest head) {
+    /** Creates a request whose body is reserved from the quota until {@link #release}. */
+    IncomingRequest(HttpRequest head, MemoryQuota quota) {
         this.head = head;
+        this.body = new AccumulationBuffer(quota, MemoryQuota.Purpose.REQUEST_BODY);
         this.query = new QueryStringDecoder(head.uri());
         this.call = ControlCall.at(pathOf(query));
     }
@@ -88,22 +90,27 @@
                 "the body is longer than " + call.maxBodyBytes() + " bytes");
     }
 
-    /** Appends a part of the body; returns false and appends nothing if it exceeds the limit. */
-    boolean append(HttpContent content) {
-        int length = content.content().readableBytes();
-        if (body.size() + length > call.maxBodyBytes()) {
-            return false;
-        }
-        try {
-            content.content().readBytes(body, length);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e); // a ByteArrayOutputStream never throws it
+    /** Returns whether the body is longer than the limit of the call with this part. */
+    boolean exceedsLimit(HttpContent content) {
+        return body.size() + content.content().readableBytes() > call.maxBodyBytes();
+    }
+
+    /** Appends a part of the body; returns false and appends nothing if there is no memory. */
+    boolean tryAppend(HttpContent content) {
+        boolean isReserved = body.tryReserve(content.content().readableBytes());
+        if (isReserved) {
+            body.add(content.content());
         }
-        return true;
+        return isReserved;
+    }
+
+    /** Drops the body. */
+    void release() {
+        body.take();
     }
 
     /** Returns the body received so far. */
     byte[] body() {
-        return body.toByteArray();
+        return ByteBufUtil.getBytes(body.content());
     }
 }
--- a/src/test/java/loadbalancer/http1/control/ControlServerLimitsTest.java
+++ b/src/test/java/loadbalancer/http1/control/ControlServerLimitsTest.java
@@ -7,8 +7,11 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.control.publish.SubscriberSink;
 import loadbalancer.faults.process.peer.Sockets;
+import loadbalancer.transport.MemoryQuota;
+import loadbalancer.transport.SocketTransport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -67,6 +70,43 @@
         assertTrue(changes.isEmpty());
     }
 
+    /** Guards against an exhausted heap by bodies that many connections send in part. */
+    @Test
+    void bodiesOfManyConnectionsAreLimitedInTheirSum() throws Exception {
+        MemoryQuota quota = new MemoryQuota(1 << 20);
+        transport = new SocketTransport(transport.loop(), quota);
+        listen(LIMITS);
+        String report =
+                "POST /v1/control/reports HTTP/1.1\r\nContent-Length: 500000\r\n\r\n"
+                        + "x".repeat(400_000);
+        Sockets.Client first = client().write(report);
+        awaitReserved(quota, 400_000);
+        Sockets.Message response = client().write(report).read();
+        assertOneLine(503, response);
+        assertEquals("1.000", response.headers().get("retry-after"));
+        assertEquals(1, quota.refusals());
+        first.close();
+        awaitReserved(quota, 0);
+        client().write(report);
+        awaitReserved(quota, 400_000);
+    }
+
+    private static void awaitReserved(MemoryQuota quota, long bytes) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
+        while (bytes == 0 ? quota.reservedBytes() > 0 : quota.reservedBytes() < bytes) {
+            assertTrue(System.nanoTime() < end, quota.reservedBytes() + " bytes reserved");
+            Thread.sleep(5);
+        }
+    }
+
+    @Test
+    void rejectsHeadWithTooManyFields() throws Exception {
+        String fields = "a:b\r\n".repeat(101);
+        assertOneLine(
+                400,
+                client().write("GET /v1/control/status HTTP/1.1\r\n" + fields + "\r\n").read());
+    }
+
     @Test
     void slowSubscriberIsUnwritableUntilItReads() throws Exception {
         Sockets.Client subscriber = client().write(SUBSCRIBE);
--- a/src/test/java/loadbalancer/http1/control/LoopbackFixture.java
+++ b/src/test/java/loadbalancer/http1/control/LoopbackFixture.java
@@ -20,7 +20,7 @@
 
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    final Transport transport = new SocketTransport(group.next());
+    Transport transport = new SocketTransport(group.next());
     private final List<AutoCloseable> opened = new ArrayList<>();
 
     @AfterEach
