A health check is answered where there is no memory for requests

Whoever asks by it whether the process is alive would have sent all traffic elsewhere.

Change: a health check that is alone on its connection is never shed; it holds no more than its head.

Evidence: MemoryQuotaNodeTest.healthCheckIsAnsweredWhereOtherRequestsAreShedByTheirHead fails without the condition (400 in place of 200) and passes with it.

--- a/src/main/java/loadbalancer/http1/downstream/RequestReader.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestReader.java
@@ -84,9 +84,11 @@
         RequestBody body =
                 new RequestBody(
                         chunked ? -1 : length, transport::nanoTime, quota, this::updateFlow);
+        boolean isAlone = queue.isEmpty() && !isServing.getAsBoolean();
         incoming = new PipelinedRequest(head, body);
         queue.add(incoming);
-        if (quota.isExhausted()) {
+        // A process without memory for requests is still alive, which a health check asks for.
+        if (quota.isExhausted() && !(isAlone && RequestValidator.isHealthCheck(head))) {
             shedIncoming();
         }
     }
--- a/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
@@ -18,8 +18,6 @@
  * connection and closes it.
  */
 final class RequestSequencer implements ResponseSink {
-    private static final String HEALTH_CHECK_PATH = "/healthz";
-
     private final ClientServer server;
     private final ClientConnection connection;
     private final Channel channel;
@@ -128,7 +126,7 @@
             QueryStringDecoder uri =
                     new QueryStringDecoder(RequestValidator.target(incoming.head()));
             // Throws for invalid percent-encoding, which is rejected below.
-            if (uri.path().equals(HEALTH_CHECK_PATH)) {
+            if (uri.path().equals(RequestValidator.HEALTH_CHECK_PATH)) {
                 respondToHealthCheck(incoming);
                 return;
             }
--- a/src/main/java/loadbalancer/http1/downstream/RequestValidator.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestValidator.java
@@ -37,6 +37,9 @@
 
     private static final String AFFINITY_KEY = "key";
 
+    /** Path of a request that asks whether this process is ready; it belongs to no class. */
+    static final String HEALTH_CHECK_PATH = "/healthz";
+
     private static final int MAX_TOKEN_CHARS = 64;
 
     /** Exceeds the number of digits of any protocol value; 9 digits always fit in a long. */
@@ -82,6 +85,12 @@
                 "1".equals(headers.get(REPEAT)));
     }
 
+    /** Returns whether a request that is not validated is a health check. */
+    static boolean isHealthCheck(HttpRequest message) {
+        String target = target(message);
+        return target.equals(HEALTH_CHECK_PATH) || target.startsWith(HEALTH_CHECK_PATH + "?");
+    }
+
     /** Returns the name of the class of a request that is not validated; null if it has none. */
     static String className(HttpRequest message) {
         String name = message.headers().get(CLASS);
--- a/src/test/java/loadbalancer/node/MemoryQuotaNodeTest.java
+++ b/src/test/java/loadbalancer/node/MemoryQuotaNodeTest.java
@@ -14,6 +14,7 @@
 import loadbalancer.faults.process.peer.Sockets.Server;
 import loadbalancer.proxy.LoadBalancerFactory;
 import loadbalancer.transport.MemoryQuota;
+import loadbalancer.transport.MemoryQuota.Purpose;
 import loadbalancer.transport.SocketTransport;
 import org.junit.jupiter.api.Test;
 
@@ -178,6 +179,23 @@
         awaitNothingReserved();
     }
 
+    /** Whoever asks whether the process is alive must not be told to send its traffic elsewhere. */
+    @Test
+    void healthCheckIsAnsweredWhereOtherRequestsAreShedByTheirHead() throws Exception {
+        startWithQuota(SERVE);
+        group.next()
+                .submit(() -> quota.newReservation(Purpose.RESPONSE).resizeTo(QUOTA_BYTES))
+                .sync();
+        assertEquals(503, client().write(request("GET", "look", "9000", "")).read().status());
+        int status = 503; // without a list, until the restored one counts
+        for (int i = 0; i < Sockets.PATIENCE_S * 10 && status == 503; i++) {
+            Thread.sleep(100);
+            status = client().write("GET /healthz HTTP/1.1\r\n\r\n").read().status();
+        }
+        assertEquals(200, status);
+        assertEquals(1, quota.refusals());
+    }
+
     /** Nothing of a streamed body is pending for long, but it makes progress. */
     @Test
     void largeBodyIsStreamedUnderPressure() throws Exception {
