--- a/src/test/java/loadbalancer/node/DescriptorsTest.java
+++ b/src/test/java/loadbalancer/node/DescriptorsTest.java
@@ -5,9 +5,7 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -17,37 +15,16 @@
 import loadbalancer.faults.process.peer.Sockets;
 import loadbalancer.faults.process.peer.Sockets.Client;
 import loadbalancer.faults.process.peer.Sockets.Server;
-import loadbalancer.faults.process.program.Program;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Runs the program under a limit of as many file descriptors as its configuration states. */
-class DescriptorsTest extends LoopbackNodeFixture {
+class DescriptorsTest extends ChildProgramFixture {
     /**
      * Share of {@link ConnectionLimits#OWN_DESCRIPTORS} that the jar and its libraries use in
      * production: 12 files.
      */
     private static final int JARS = 12;
 
-    private Process process;
-
-    @AfterEach
-    void stopProcess() {
-        if (process != null) {
-            process.destroyForcibly();
-        }
-    }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) free.getLocalSocketAddress();
-        }
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     /** Returns the number of jars on the test's class path, which the child process opens, too. */
     private static long testJars() {
         return Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
@@ -55,37 +32,10 @@
                 .count();
     }
 
-    private void startProgram(Path config, InetSocketAddress admin) throws IOException {
-        List<String> command =
-                new ArrayList<>(
-                        List.of(
-                                "sh",
-                                "-c",
-                                "ulimit -n " + (sockets - JARS + testJars()) + "; exec \"$@\"",
-                                "sh"));
-        command.addAll(Program.ofClassPath(System.getProperty("java.class.path")).plain());
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().keySet().removeIf(key -> key.startsWith("NODE_"));
-        builder.environment().put("NODE_CONFIG", config.toString());
-        builder.environment().put("NODE_OPS", text(admin));
-        builder.environment().put("TMPDIR", folder.toString());
-        process =
-                builder.redirectErrorStream(true)
-                        .redirectOutput(folder.resolve("log").toFile())
-                        .start();
-    }
-
-    /**
-     * Sends a line to the admin endpoint on a new connection and returns the reply; null if the
-     * endpoint does not listen yet.
-     */
-    private static String call(InetSocketAddress admin, String line) throws IOException {
-        try (Client client = new Client(admin)) {
-            client.write(line + "\n");
-            return new String(client.socket.getInputStream().readAllBytes(), "US-ASCII");
-        } catch (java.net.ConnectException e) {
-            return null;
-        }
+    /** Runs the program with as many descriptors as it is told of, and those for the jars. */
+    private List<String> limitedDescriptors() {
+        return List.of(
+                "sh", "-c", "ulimit -n " + (sockets - JARS + testJars()) + "; exec \"$@\"", "sh");
     }
 
     private long openDescriptors() throws IOException {
@@ -115,7 +65,6 @@
     void idleClientsLeaveDescriptorsForDiscoveryAdminAndUpstreams() throws Exception {
         InetSocketAddress address = freeAddress();
         InetSocketAddress discovery = freeAddress();
-        InetSocketAddress admin = freeAddress();
         listen = text(address);
         sockets = 160;
         Server upstream = server(SERVE);
@@ -123,11 +72,7 @@
         Path config = writeConfiguration(ready(upstream), placeholder);
         Files.writeString(
                 config, Files.readString(config).replace(placeholder.addr(), text(discovery)));
-        startProgram(config, admin);
-        while (!"SUCCESS ready\n".equals(call(admin, "READY"))) {
-            assertTrue(process.isAlive(), Files.readString(folder.resolve("log")));
-            Thread.sleep(20);
-        }
+        startProgram(config, limitedDescriptors());
         ConnectionLimits limits = ConnectionLimits.of(sockets, false);
         List<Client> clients = new ArrayList<>();
         try {
@@ -140,7 +85,7 @@
             }
             Server discoveryServer = new Server(discovery, HANG);
             Sockets.next(discoveryServer.requests);
-            assertEquals("SUCCESS ready\n", call(admin, "READY"));
+            assertEquals("SUCCESS ready\n", call("READY"));
             long own = openDescriptors() - limits.clients() - upstream.accepted.size();
             assertTrue(
                     own <= ConnectionLimits.OWN_DESCRIPTORS - JARS,
--- a/src/test/java/loadbalancer/node/PeerMemoryTest.java
+++ b/src/test/java/loadbalancer/node/PeerMemoryTest.java
@@ -4,14 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -25,15 +21,13 @@
 import loadbalancer.faults.process.peer.Sockets.Client;
 import loadbalancer.faults.process.peer.Sockets.Script;
 import loadbalancer.faults.process.peer.Sockets.Server;
-import loadbalancer.faults.process.program.Program;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /**
  * The program with its heap in service, among many peers that make it hold as much memory as one
  * connection may: it goes on, and others get their responses.
  */
-class PeerMemoryTest extends LoopbackNodeFixture {
+class PeerMemoryTest extends ChildProgramFixture {
     private static final long USUAL_MILLIS = 5_000;
     private static final long USUAL_INTERVAL_MILLIS = 20;
     private static final int UPSTREAMS = 4;
@@ -47,62 +41,16 @@
             };
 
     private final AtomicLong crowdRequests = new AtomicLong();
-    private Process process;
     private InetSocketAddress address;
-    private InetSocketAddress admin;
-
-    @AfterEach
-    void stopProcess() {
-        if (process != null) {
-            process.destroyForcibly();
-        }
-    }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) free.getLocalSocketAddress();
-        }
-    }
-
-    private static String text(InetSocketAddress socketAddress) {
-        return socketAddress.getHostString() + ":" + socketAddress.getPort();
-    }
 
     private void startProgram(Script script) throws Exception {
         address = freeAddress();
-        admin = freeAddress();
         listen = text(address);
         Server[] upstreams = new Server[UPSTREAMS];
         for (int i = 0; i < UPSTREAMS; i++) {
             upstreams[i] = server(script);
         }
-        Path config = writeConfiguration(ready(upstreams), server(HANG));
-        ProcessBuilder builder =
-                new ProcessBuilder(
-                        Program.ofClassPath(System.getProperty("java.class.path")).plain());
-        builder.environment().keySet().removeIf(key -> key.startsWith("NODE_"));
-        builder.environment().put("NODE_CONFIG", config.toString());
-        builder.environment().put("NODE_OPS", text(admin));
-        builder.environment().put("TMPDIR", folder.toString());
-        process =
-                builder.redirectErrorStream(true)
-                        .redirectOutput(folder.resolve("log").toFile())
-                        .start();
-        while (!call("READY").startsWith("SUCCESS")) {
-            assertTrue(process.isAlive(), Files.readString(folder.resolve("log")));
-            Thread.sleep(20);
-        }
-    }
-
-    /** Returns the reply of the admin endpoint; empty while it does not listen. */
-    private String call(String line) throws IOException {
-        try (Client client = new Client(admin)) {
-            client.write(line + "\n");
-            return new String(
-                    client.socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-        } catch (java.net.ConnectException e) {
-            return "";
-        }
+        startProgram(writeConfiguration(ready(upstreams), server(HANG)), List.of());
     }
 
     private OptionalLong metric(String name) throws IOException {
@@ -191,10 +139,6 @@
         assertTrue(held <= limit, held + " bytes held, limit " + limit);
     }
 
-    private String log() throws IOException {
-        return Files.readString(folder.resolve("log"));
-    }
-
     /** Guards against an exhausted heap by pipelined requests with bodies, on many connections. */
     @Test
     void pipelinedBodiesOfManyClientsDoNotExhaustTheHeap() throws Exception {
