An upload that an endpoint reads slowly or not at all is answered in time

Bytes that the client has written lie in its kernel and ours; RequestTimers took a client with over 256 KiB to come for one that is not done and gave it 10 s, and each time an endpoint took a part the stall time-out began anew.

Evidence: 6 MB with an endpoint that stops after 8,926 bytes: response at 10.02 s, below some 4 MB in time on this machine, where the kernel takes 2.5 MB towards the endpoint; 16 MB read at 2 MB/s: 3.91 s after the last byte. A late write, a lost response and a slow loop are excluded: others were in time.

Change: UploadTiming says how long ago the last byte may have been written: the sum of the times in which the body was not read, while no more was missing than can be in transit (5 MiB), unless the client paused. The deadline, the stall time-out and the time announced to endpoints go by it. Socket buffers are bounded (256 KiB in, 128 KiB out), so that what is in transit is bounded, too. The rest of an upload is read and dropped after a response up to 33 MB; after 1 MiB the connection was closed over unread bytes, which resets it.

--- a/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
@@ -20,6 +20,9 @@
      */
     private static final int SEND_BUFFER_BYTES = 128 * 1024;
 
+    /** Limits how much the kernel holds of an upload that no endpoint takes. */
+    private static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
+
     /** Netty's default for the number of reads in one event-loop iteration. */
     private static final int MAX_READS_PER_LOOP = 16;
 
@@ -44,7 +47,9 @@
     @Override
     protected void initChannel(Channel channel) {
         if (channel.config() instanceof SocketChannelConfig socket) {
-            socket.setTcpNoDelay(true).setSendBufferSize(SEND_BUFFER_BYTES);
+            socket.setTcpNoDelay(true)
+                    .setSendBufferSize(SEND_BUFFER_BYTES)
+                    .setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         }
         prepare(server, channel);
     }
--- a/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
+++ b/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import loadbalancer.proxy.RequestBody;
 import loadbalancer.transport.AccumulationBuffer;
 import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.Transport;
@@ -33,9 +34,10 @@
 
     /**
      * Limit of the bytes that a client may send after the end of its connection was announced;
-     * beyond it, the connection is closed.
+     * beyond it, the connection is closed. The rest of an upload is below it: a close would reset
+     * the connection, and a client that is still writing would not read its response.
      */
-    private static final long MAX_DISCARDED_BYTES = 1L << 20;
+    private static final long MAX_DISCARDED_BYTES = RequestBody.MAX_BYTES + (1L << 20);
 
     private enum State {
         PASSING,
--- a/src/main/java/loadbalancer/http1/upstream/Connector.java
+++ b/src/main/java/loadbalancer/http1/upstream/Connector.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.AttemptOutcome;
@@ -20,6 +21,9 @@
     private static final RecvByteBufAllocator READ_SIZES =
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
 
+    /** Limits how much of an upload the kernel holds for an endpoint that does not read it. */
+    private static final int SEND_BUFFER_BYTES = 128 * 1024;
+
     private final Transport transport;
     private final ConnectionPool pool;
     private int connectTimeoutMillis;
@@ -75,6 +79,9 @@
     }
 
     private void prepare(Channel channel) {
+        if (channel.config() instanceof SocketChannelConfig socket) {
+            socket.setSendBufferSize(SEND_BUFFER_BYTES);
+        }
         channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
         channel.config().setRecvByteBufAllocator(READ_SIZES);
         channel.pipeline()
--- a/src/main/java/loadbalancer/proxy/AttemptRunner.java
+++ b/src/main/java/loadbalancer/proxy/AttemptRunner.java
@@ -149,8 +149,7 @@
         @Override
         public long timeLeftMillis() {
             long endMicros = Math.min(timeoutAtMicros, request.deadlineMicros());
-            long leftMicros =
-                    Math.min(endMicros - clock.nowMicros(), request.descriptor().timeLeftMicros());
+            long leftMicros = Math.min(endMicros - clock.nowMicros(), request.minTimeLeftMicros());
             return TimeUnit.MICROSECONDS.toMillis(Math.max(0, leftMicros));
         }
 
--- a/src/main/java/loadbalancer/proxy/InFlightRequest.java
+++ b/src/main/java/loadbalancer/proxy/InFlightRequest.java
@@ -3,6 +3,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.LoadBalancerLimits;
 import loadbalancer.LoadBalancerSettings;
 import loadbalancer.RequestClass;
@@ -102,6 +103,15 @@
         return deadlineMicros;
     }
 
+    /**
+     * Returns the time left if the client has written its last byte: the time that the request came
+     * with, less that for which its body was not read.
+     */
+    long minTimeLeftMicros() {
+        long waitMicros = TimeUnit.NANOSECONDS.toMicros(body.timing().maxWaitNanos());
+        return Math.max(0, descriptor.timeLeftMicros() - waitMicros);
+    }
+
     /** Sets the deadline and its timer, and cancels the previous timer. */
     void setDeadline(long micros, ScheduledFuture<?> timer) {
         cancelDeadlineTimer();
--- a/src/main/java/loadbalancer/proxy/RequestBody.java
+++ b/src/main/java/loadbalancer/proxy/RequestBody.java
@@ -1,7 +1,6 @@
 package loadbalancer.proxy;
 
 import io.netty.buffer.ByteBuf;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import loadbalancer.transport.AccumulationBuffer;
@@ -35,7 +34,7 @@
     }
 
     private final long length;
-    private final LongSupplier nanoTime;
+    private final UploadTiming timing;
     private final Runnable onRoomAvailable;
 
     /** Bytes for later attempts. */
@@ -49,12 +48,6 @@
     private Consumer<Boolean> flowListener = blocked -> {};
     private boolean blocked;
 
-    /** Monotonic time at which the body last became unblocked. */
-    private long unblockedSinceNanos;
-
-    /** Total time for which it was not blocked before {@link #unblockedSinceNanos}. */
-    private long unblockedNanos;
-
     /**
      * Creates a body of which no byte has arrived.
      *
@@ -66,8 +59,7 @@
     public RequestBody(
             long length, LongSupplier nanoTime, MemoryQuota quota, Runnable onRoomAvailable) {
         this.length = length;
-        this.nanoTime = nanoTime;
-        this.unblockedSinceNanos = nanoTime.getAsLong();
+        this.timing = new UploadTiming(length, nanoTime);
         this.onRoomAvailable = onRoomAvailable;
         this.buffered = new AccumulationBuffer(quota, MemoryQuota.Purpose.REQUEST_BODY);
     }
@@ -92,11 +84,7 @@
         boolean isBlocked = !complete && !hasRoom();
         if (isBlocked != blocked) {
             blocked = isBlocked;
-            if (blocked) {
-                unblockedNanos += nanoTime.getAsLong() - unblockedSinceNanos;
-            } else {
-                unblockedSinceNanos = nanoTime.getAsLong();
-            }
+            timing.setBlocked(isBlocked);
             flowListener.accept(isBlocked);
         }
     }
@@ -113,6 +101,7 @@
     /** Adds the next bytes, which the caller hands over; the body releases them. */
     public void add(ByteBuf bytes) {
         received += bytes.readableBytes();
+        timing.received(bytes.readableBytes());
         if (released) {
             bytes.release(); // the body is no longer needed
             return;
@@ -197,20 +186,9 @@
         return complete ? received : length;
     }
 
-    /**
-     * Estimates the time in which the rest of the body arrives, at the rate so far while the body
-     * was not blocked. Returns 0 if the length is unknown, since all of the body may have been
-     * sent, and before the first byte.
-     */
-    long estimatedMicrosToCompletion() {
-        long totalUnblockedNanos =
-                unblockedNanos + (blocked ? 0 : nanoTime.getAsLong() - unblockedSinceNanos);
-        return length < 0 || received == 0
-                ? 0
-                : (long)
-                        ((double) (length - received)
-                                / received
-                                * TimeUnit.NANOSECONDS.toMicros(totalUnblockedNanos));
+    /** Returns when the client wrote its bytes, as far as this side can tell. */
+    UploadTiming timing() {
+        return timing;
     }
 
     /** Returns whether more bytes may be added; while not, the client has to wait. */
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -282,7 +282,7 @@
     public void bodyReceived(String id) {
         InFlightRequest request = requests.get(id);
         if (request != null && !request.isConcluded() && !request.isStreaming()) {
-            timers.startDeadline(request, request.descriptor().timeLeftMicros());
+            timers.bodyReceived(request);
             audit.bodyReceived(request.audit());
             policy.post((policy, now) -> policy.requestBodyReceived(now, id));
         }
--- a/src/main/java/loadbalancer/proxy/RequestTimers.java
+++ b/src/main/java/loadbalancer/proxy/RequestTimers.java
@@ -12,12 +12,12 @@
     /** Maximum time for a body to arrive. The reader of the body enforces a minimum rate. */
     static final long MAX_BODY_MICROS = TimeUnit.MINUTES.toMicros(10);
 
-    /** Number of bytes that may be in transit from a client that has sent its whole body. */
-    private static final long MAX_IN_TRANSIT_BYTES = 256 * 1024;
-
     /** Maximum time for which a body may be blocked while its client has more to send. */
     private static final long STALL_TIMEOUT_MICROS = TimeUnit.SECONDS.toMicros(10);
 
+    /** How much faster than its beginning the rest of a body may be written. */
+    private static final int UPLOAD_SPEED_UP = 4;
+
     private final EventLoop loop;
     private final PolicyClock clock;
     private final Consumer<InFlightRequest> onExpired;
@@ -41,6 +41,11 @@
                         () -> onExpired.accept(request), timeLeftMicros, TimeUnit.MICROSECONDS));
     }
 
+    /** Starts the deadline of a request whose last byte was read. */
+    void bodyReceived(InFlightRequest request) {
+        startDeadline(request, request.minTimeLeftMicros());
+    }
+
     /**
      * Starts the stall time-out of a body that becomes blocked, because no endpoint receives it yet
      * or its endpoint stopped reading; cancels it when the body flows again. The client of a
@@ -60,14 +65,13 @@
     }
 
     private static long stallTimeoutMicros(InFlightRequest request) {
-        RequestBody body = request.body();
-        boolean mayBeSentCompletely =
-                body.length() < 0 || body.length() - body.receivedBytes() <= MAX_IN_TRANSIT_BYTES;
-        if (!mayBeSentCompletely) {
+        UploadTiming timing = request.body().timing();
+        if (!timing.mayBeSentCompletely()) {
             return STALL_TIMEOUT_MICROS;
         }
-        return Math.min(
-                STALL_TIMEOUT_MICROS,
-                body.estimatedMicrosToCompletion() + request.descriptor().timeLeftMicros());
+        long untilSentMicros =
+                TimeUnit.NANOSECONDS.toMicros(timing.estimatedNanosToCompletion())
+                        / UPLOAD_SPEED_UP;
+        return Math.min(STALL_TIMEOUT_MICROS, untilSentMicros + request.minTimeLeftMicros());
     }
 }
--- a/src/test/java/loadbalancer/node/RawEndpoint.java
+++ b/src/test/java/loadbalancer/node/RawEndpoint.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -107,8 +108,11 @@
     /** Resets all connections, as those of a process are that dies. */
     void resetConnections() throws IOException {
         for (Socket socket : open) {
-            socket.setSoLinger(true, 0);
-            socket.close();
+            try (socket) {
+                socket.setSoLinger(true, 0);
+            } catch (SocketException e) {
+                // its handler has closed it
+            }
         }
     }
 
--- a/src/test/java/loadbalancer/node/SlowPeerTest.java
+++ b/src/test/java/loadbalancer/node/SlowPeerTest.java
@@ -74,6 +74,7 @@
         "200000, 8926, false",
         "1301881, 8926, false",
         "1308641, 31083, false",
+        "3000000, 8926, false",
         "6000000, 8926, false",
         "6000000, 31083, true"
     })
--- a/src/test/java/loadbalancer/proxy/RequestBodyTest.java
+++ b/src/test/java/loadbalancer/proxy/RequestBodyTest.java
@@ -103,13 +103,13 @@
         halfBody.add(Unpooled.wrappedBuffer(new byte[CHUNK_BYTES]));
         assertFalse(halfBody.hasRoom());
         now = 9_000_000_000L;
-        assertEquals(2_000_000, halfBody.estimatedMicrosToCompletion());
+        assertEquals(2_000_000_000L, halfBody.timing().estimatedNanosToCompletion());
         halfBody.attach(new Attempt());
         now = 10_000_000_000L;
-        assertEquals(3_000_000, halfBody.estimatedMicrosToCompletion());
+        assertEquals(3_000_000_000L, halfBody.timing().estimatedNanosToCompletion());
         assertEquals(
                 0,
-                body.estimatedMicrosToCompletion(),
+                body.timing().estimatedNanosToCompletion(),
                 "all of a body of unknown length may have been sent");
     }
 
