A blocked upload of any size gets the client's time, not 10 s

What callers saw: with an endpoint that takes nothing, 6 MB from a fast client were answered after 10 s, since a client with more to come than can be in transit was taken for one that still writes. How much the kernels between hold is not known for sure. Change: what an endpoint does not take for the whole of a client's time (and the time in which the rest arrives) is failed, whatever its size.

--- a/src/main/java/loadbalancer/proxy/RequestTimers.java
+++ b/src/main/java/loadbalancer/proxy/RequestTimers.java
@@ -66,9 +66,6 @@
 
     private static long stallTimeoutMicros(InFlightRequest request) {
         UploadTiming timing = request.body().timing();
-        if (!timing.mayBeSentCompletely()) {
-            return STALL_TIMEOUT_MICROS;
-        }
         long untilSentMicros =
                 TimeUnit.NANOSECONDS.toMicros(timing.estimatedNanosToCompletion())
                         / UPLOAD_SPEED_UP;
