A long response of unknown length that is written slowly is not cut off

Cause: a response of unknown length was buffered up to 64 KiB, as it might be small, and the deadline came first.

Change: it is passed on once it has not been complete for half a second, or half of the time left; from then on no deadline applies. One that is still below 16 KiB 0.3 s after the deadline is cut off in a way that the client can tell: a short response must not come late.

Result: SlowPeerTest.longResponseThatIsWrittenSlowlyIsPassedOnWhole, red before for both framings, green.

--- a/src/main/java/loadbalancer/http1/upstream/ResponseReader.java
+++ b/src/main/java/loadbalancer/http1/upstream/ResponseReader.java
@@ -30,6 +30,9 @@
     /** Size in bytes up to which a response is buffered even if the memory quota is exhausted. */
     private static final int ALWAYS_BUFFERED_BYTES = 4 * 1024;
 
+    /** Size in bytes below which a response of unknown length counts as short. */
+    private static final int LONG_RESPONSE_BYTES = 16 * 1024;
+
     private static final String UNPROCESSED_HEADER = "X-Unprocessed";
     private static final String LOAD_REPORT_HEADER = "X-Backend-Load";
     private static final int STATUS_OK = 200;
@@ -60,6 +63,10 @@
     private HttpResponse head;
     private long receivedBytes;
     private long lastReceivedNanos;
+
+    /** Whether the response is streamed although it might be small. */
+    private boolean isLong;
+
     private ResponseStream stream;
 
     ResponseReader(Transport transport, Channel channel, RequestExchange exchange) {
@@ -130,22 +137,14 @@
             state = State.INVALID; // exceeds the size limit or is truncated
             return;
         }
-        long length = HttpUtil.getContentLength(head, -1L);
         boolean mayBuffer =
                 stream == null
+                        && !isLong
                         && receivedBytes <= RequestBody.MAX_BUFFERED_BYTES
-                        && length <= RequestBody.MAX_BUFFERED_BYTES
+                        && length() <= RequestBody.MAX_BUFFERED_BYTES
                         && hasMemory(content.content().readableBytes());
-        if (stream == null && head.status().code() == STATUS_OK && !mayBuffer) {
-            stream = exchange.listener().responseStarted(length);
-            if (stream == null) {
-                state = State.UNWANTED;
-                return;
-            }
-            state = State.STREAMING;
-            if (buffered.size() > 0) {
-                stream.write(buffered.take());
-            }
+        if (stream == null && head.status().code() == STATUS_OK && !mayBuffer && !startStream()) {
+            return;
         }
         if (stream != null) {
             stream.write(content.content().retain());
@@ -158,6 +157,47 @@
         state = last ? State.COMPLETE : state;
     }
 
+    private long length() {
+        return HttpUtil.getContentLength(head, -1L);
+    }
+
+    /** Begins to pass the response on; returns false if the receiver declines it. */
+    private boolean startStream() {
+        stream = exchange.listener().responseStarted(length());
+        state = stream == null ? State.UNWANTED : State.STREAMING;
+        if (stream != null && buffered.size() > 0) {
+            stream.write(buffered.take());
+        }
+        return stream != null;
+    }
+
+    /**
+     * Returns whether the response may be a long one: successful, of unknown length, and not
+     * complete.
+     */
+    boolean mayBeLong() {
+        return state == State.BUFFERED && head.status().code() == STATUS_OK && length() < 0;
+    }
+
+    /**
+     * Passes on what has arrived of a response that {@link #mayBeLong}, and from then on all that
+     * arrives, because its client must not wait for the rest. Returns the new state.
+     */
+    State treatAsLong() {
+        isLong = true;
+        if (buffered.size() > 0) {
+            startStream();
+        }
+        return state;
+    }
+
+    /** Returns whether the response is incomplete and has not turned out to be a long one. */
+    boolean isShortSoFar() {
+        return (state == State.BUFFERED || state == State.STREAMING)
+                && isLong
+                && receivedBytes < LONG_RESPONSE_BYTES;
+    }
+
     private boolean hasMemory(int byteCount) {
         return receivedBytes <= ALWAYS_BUFFERED_BYTES || buffered.tryReserve(byteCount);
     }
--- a/src/main/java/loadbalancer/http1/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/http1/upstream/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.AttemptOutcome;
+import loadbalancer.proxy.UpstreamTransport;
 import loadbalancer.transport.InboundSide;
 import loadbalancer.transport.Transport;
 
@@ -24,6 +25,12 @@
      */
     private static final long REUSE_DELAY_MILLIS = 5;
 
+    /** Time after its head for which a response of unknown length is held back. */
+    private static final long MAX_BUFFERING_MILLIS = 500;
+
+    /** Time after the client's deadline up to which a short response still reaches the client. */
+    private static final long LATE_RESPONSE_MILLIS = 300;
+
     /** Minimum interval between two checks for a stalled response. */
     private static final long STALL_CHECK_INTERVAL_MILLIS = 250;
 
@@ -116,7 +123,12 @@
         ResponseReader.State before = response.state();
         switch (response.read(part)) {
             case AWAITING_HEAD -> {}
-            case BUFFERED -> decoder.responseHeadReceived();
+            case BUFFERED -> {
+                decoder.responseHeadReceived();
+                if (before == ResponseReader.State.AWAITING_HEAD && response.mayBeLong()) {
+                    scheduleStreaming(response);
+                }
+            }
             case STREAMING -> {
                 decoder.responseHeadReceived();
                 if (before != ResponseReader.State.STREAMING) {
@@ -129,8 +141,45 @@
         }
     }
 
+    /** Starts to stream a response that is not complete by then, well before its deadline. */
+    private void scheduleStreaming(ResponseReader expected) {
+        long timeLeftMillis = expected.exchange().listener().timeLeftMillis();
+        if (timeLeftMillis == UpstreamTransport.Listener.NOT_ANNOUNCED) {
+            return;
+        }
+        schedule(
+                Math.min(MAX_BUFFERING_MILLIS, timeLeftMillis / 2),
+                () -> streamIfIncomplete(expected));
+        schedule(timeLeftMillis + LATE_RESPONSE_MILLIS, () -> endIfShort(expected));
+    }
+
+    private void schedule(long delayMillis, Runnable task) {
+        transport.loop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void streamIfIncomplete(ResponseReader expected) {
+        if (response != expected || !expected.mayBeLong()) {
+            return;
+        }
+        switch (expected.treatAsLong()) {
+            case STREAMING -> scheduleStallCheck(expected, expected.stallTimeoutLeftMillis());
+            case UNWANTED -> abort(AttemptOutcome.CANCELLED);
+            default -> {}
+        }
+    }
+
+    /**
+     * Ends a response that turns out to be a short one and is late, so that its client does not
+     * wait any longer.
+     */
+    private void endIfShort(ResponseReader expected) {
+        if (response == expected && expected.isShortSoFar()) {
+            abort(expected.exchange().outcomeOfConnectionLoss());
+        }
+    }
+
     private void scheduleStallCheck(ResponseReader expected, long millis) {
-        transport.loop().schedule(() -> checkStall(expected), millis, TimeUnit.MILLISECONDS);
+        schedule(millis, () -> checkStall(expected));
     }
 
     private void checkStall(ResponseReader expected) {
