A client that reads a long response slowly is not cut off after 6 s

Cause: a client counted as one that does not read when no write had completed for 6 s. A kernel announces room only once a sixteenth of its receive buffer is free; where that has grown to several MiB, a slow reader takes longer for it, although it reads all the time.

Change: 60 s without any progress. Clients that have taken nothing for 6 s give way earlier: at the limit on connections, and while memory is short.

Result: SlowPeerTest.longResponseToAClientThatReadsSlowlyIsPassedOnWhole, red before (15,991,660 of 24,000,000 bytes), green; 233 tests of neighbours green.

--- a/src/main/java/loadbalancer/http1/downstream/ClientServer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientServer.java
@@ -268,6 +268,9 @@
 
     private void sweep() {
         reaper.endExpired();
+        if (transport.memoryQuota().isUnderPressure()) {
+            reaper.closeUnread();
+        }
         enforceConnectionLimit();
     }
 
--- a/src/main/java/loadbalancer/http1/downstream/ConnectionReaper.java
+++ b/src/main/java/loadbalancer/http1/downstream/ConnectionReaper.java
@@ -23,8 +23,12 @@
     /** How long an idle connection is kept alive between two requests. */
     private static final long IDLE_TIMEOUT_MILLIS = 5_000;
 
-    /** How long a client may go without reading any of its response. */
-    private static final long WRITE_TIMEOUT_MILLIS = 6_000;
+    /**
+     * How long the kernel of a client may take nothing of a response. One whose receive buffer has
+     * grown to several MiB announces room only once a sixteenth of it is free, for which a slow
+     * reader takes many seconds.
+     */
+    private static final long WRITE_TIMEOUT_MILLIS = 60_000;
 
     /** How long a client may take to close its side after this side has shut down its output. */
     private static final long LINGER_TIMEOUT_MILLIS = 2_000;
@@ -34,6 +38,7 @@
     private static final long EVICT_NEW_MILLIS = 250;
     private static final long EVICT_STALLED_HEAD_MILLIS = 1_000;
     private static final long EVICT_IDLE_MILLIS = 2_000;
+    private static final long EVICT_UNREAD_RESPONSE_MILLIS = 6_000;
 
     private final ConnectionRegistry connections;
 
@@ -57,6 +62,13 @@
         }
     }
 
+    /** Closes all connections whose clients have not read for long, to free what they hold. */
+    void closeUnread() {
+        while (closeLongestUnread()) {
+            continue;
+        }
+    }
+
     /** Evicts connections until there are fewer than the limit or none may be evicted. */
     void evictToLimit(int maxConnections) {
         while (connections.size() >= maxConnections) {
@@ -65,10 +77,11 @@
                 continue;
             }
             Optional<ClientConnection> candidate = evictionCandidate();
-            if (candidate.isEmpty()) {
+            if (candidate.isPresent()) {
+                candidate.get().evict();
+            } else if (!closeLongestUnread()) {
                 return;
             }
-            candidate.get().evict();
         }
     }
 
@@ -85,6 +98,16 @@
                 .or(this::longestIdle);
     }
 
+    /** Closes the connection whose client has not read its response for the longest time. */
+    private boolean closeLongestUnread() {
+        if (!connections.anyLongerThan(
+                ConnectionActivity.AWAITING_CLIENT_READ, EVICT_UNREAD_RESPONSE_MILLIS)) {
+            return false;
+        }
+        connections.longestIn(ConnectionActivity.AWAITING_CLIENT_READ).close();
+        return true;
+    }
+
     private static boolean isHeadStalled(ClientConnection connection) {
         return connection.isAwaitingHead()
                 && connection.receiveIdleMillis() > EVICT_STALLED_HEAD_MILLIS;
