Chunks of one byte from one peer no longer hold up all others

Cause: each part of a body was written and flushed to the other side by itself, some 15 microseconds each, and a connection was read up to 16 times (256 KiB, 43,000 chunks; 512 KiB from an endpoint) before any other got its turn.

Change: http1.codec.ContentMerger passes on the small parts of one read as one. A turn reads 48 KiB of a client and 64 KiB of an endpoint at most.

--- a/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import loadbalancer.http1.codec.ContentMerger;
 import loadbalancer.transport.Transport;
 
 /** Configures the socket options and the handler pipeline of an accepted client channel. */
@@ -23,8 +24,11 @@
     /** Limits how much the kernel holds of an upload that no endpoint takes. */
     private static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
 
-    /** Netty's default for the number of reads in one event-loop iteration. */
-    private static final int MAX_READS_PER_LOOP = 16;
+    /**
+     * Number of reads of a connection in one event-loop iteration. Others wait for as long as it
+     * takes to decode what these bring, which in chunks of one byte is thousands of parts.
+     */
+    private static final int MAX_READS_PER_LOOP = 3;
 
     // Sizes of a read, adapted to how much arrives. A message that has arrived in part may hold a
     // whole read buffer, and each connection may hold one.
@@ -65,6 +69,7 @@
                 .addLast(
                         connection.inboundMonitor(),
                         new HttpServerCodec(decoder),
+                        new ContentMerger(),
                         connection.audit(),
                         connection);
     }
--- a/src/main/java/loadbalancer/http1/upstream/Connector.java
+++ b/src/main/java/loadbalancer/http1/upstream/Connector.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.AttemptOutcome;
+import loadbalancer.http1.codec.ContentMerger;
 import loadbalancer.transport.Transport;
 
 /** Opens connections to endpoints. Used on the event loop only. */
@@ -18,8 +19,13 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 * 1024;
     private static final int MAX_READ_BYTES = 32 * 1024;
+
+    /** Number of reads of a connection in one event-loop iteration, for which others wait. */
+    private static final int MAX_READS_PER_LOOP = 2;
+
     private static final RecvByteBufAllocator READ_SIZES =
-            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                    .maxMessagesPerRead(MAX_READS_PER_LOOP);
 
     /** Limits how much of an upload the kernel holds for an endpoint that does not read it. */
     private static final int SEND_BUFFER_BYTES = 128 * 1024;
@@ -85,6 +91,9 @@
         channel.config().setWriteBufferWaterMark(Transport.WATER_MARK);
         channel.config().setRecvByteBufAllocator(READ_SIZES);
         channel.pipeline()
-                .addLast(new HttpRequestEncoder(), new ResponseDecoder(transport.memoryQuota()));
+                .addLast(
+                        new HttpRequestEncoder(),
+                        new ResponseDecoder(transport.memoryQuota()),
+                        new ContentMerger());
     }
 }
