A close behind pipelined requests is seen before the first of them is served, too

Cause: between two requests nothing counted as pipelined, so that reading stayed off. Change: bytes behind a complete request count as such, whether or not one is in service; reading is decided anew when delivery pauses.

--- a/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
@@ -115,12 +115,12 @@
 
     @Override
     public boolean isPipelining() {
-        return sequencer.isBusy() && !reader.isQueueEmpty();
+        return sequencer.isBusy() ? !reader.isQueueEmpty() : reader.isNextComplete();
     }
 
     @Override
     public void pipelineOverrun() {
-        reader.release();
+        sequencer.pipelineOverrun();
     }
 
     /** Returns whether the client has sent more behind a request than is accepted. */
--- a/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
+++ b/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
@@ -56,7 +56,7 @@
         /** Returns whether the next bytes belong to a head. */
         boolean isAwaitingHead();
 
-        /** Returns whether requests have arrived behind the one in service. */
+        /** Returns whether bytes that arrive now are behind a complete request. */
         boolean isPipelining();
 
         /** Called once when more has arrived behind the request in service than is buffered. */
@@ -105,8 +105,8 @@
         resumeScheduled = false;
         if (state == State.PASSING) {
             state = State.BUFFERING;
-            updateReading();
         }
+        updateReading();
     }
 
     /** Resumes delivery with the buffered bytes; they are passed on after this call returns. */
@@ -183,7 +183,7 @@
         int reads = 0;
         do {
             before = readCount;
-            if (!inRead && owner.isPipelining()) {
+            if (!inRead && (owner.isPipelining() || overrun)) {
                 readAvailable();
             }
             reads++;
--- a/src/main/java/loadbalancer/http1/downstream/RequestReader.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestReader.java
@@ -191,6 +191,18 @@
         return queue.poll();
     }
 
+    /** Whether the next request has been read completely, so that others may be behind it. */
+    boolean isNextComplete() {
+        return !queue.isEmpty() && queue.peek().body.isComplete();
+    }
+
+    /** Releases the requests behind the next one, and ignores the rest of the inbound stream. */
+    void releaseBehindNext() {
+        PipelinedRequest next = queue.poll();
+        release();
+        queue.add(next);
+    }
+
     /** Releases all queued requests and ignores the rest of the one that is being received. */
     void release() {
         queue.forEach(PipelinedRequest::release);
--- a/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
@@ -105,10 +105,7 @@
             }
         }
         // isClientConnected may read from the socket, which can change which request is ready.
-        while (canServeNext()
-                && connection.isClientConnected()
-                && !connection.isOverrun()
-                && canServeNext()) {
+        while (canServeNext() && connection.isClientConnected() && canServeNext()) {
             serve(reader.poll());
         }
         if (!busy && connection.isOverrun()) {
@@ -117,6 +114,15 @@
         reader.updateFlow();
     }
 
+    /** Drops what is behind the request in service, or behind the next one if there is none. */
+    void pipelineOverrun() {
+        if (busy) {
+            reader.release();
+        } else {
+            reader.releaseBehindNext();
+        }
+    }
+
     /** Whether a request is ready and none is in service. */
     boolean canServeNext() {
         return !busy && connection.isOpen() && reader.isNextReady();
