An id that comes again is not run again, at either process of a hand-over

Cause: only ids of open requests were known, and each process knew its own alone.

An id is recorded right before the first byte of its first attempt, and forgotten if no attempt may have been executed; a request with a recorded id gets 400, as one whose id is open did. Without the file each process has a table of its own.

--- a/src/main/java/loadbalancer/http1/downstream/ClientServer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientServer.java
@@ -151,6 +151,9 @@
         if (dispatcher.isInFlight(request.id())) {
             throw new InvalidInputException("a request with this id is open");
         }
+        if (dispatcher.isRecent(request.id())) {
+            throw new InvalidInputException("a request with this id was sent before");
+        }
         long waitedMillis = incoming.millisSinceCompletion(transport.nanoTime());
         return waitedMillis == 0
                 ? request
--- a/src/main/java/loadbalancer/node/FileLockSibling.java
+++ b/src/main/java/loadbalancer/node/FileLockSibling.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Optional;
 import loadbalancer.logging.FailureLogFilter;
 
 /**
@@ -25,6 +27,9 @@
 
     private static final String FILE_SUFFIX = ".lock";
 
+    /** Suffix of the file of shared memory, behind the name of the lock file. */
+    private static final String MEMORY_SUFFIX = ".ids";
+
     /** Bytes 0 and 1 are locked by the running processes, bytes 2 and 3 by those that listen. */
     private static final int LISTENING_OFFSET = 2;
 
@@ -142,6 +147,22 @@
         }
     }
 
+    @Override
+    public Optional<ByteBuffer> sharedMemory(int sizeBytes) {
+        Path file = path.resolveSibling(path.getFileName() + MEMORY_SUFFIX);
+        try (FileChannel channel =
+                FileChannel.open(
+                        file,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE)) {
+            return Optional.of(channel.map(FileChannel.MapMode.READ_WRITE, 0, sizeBytes));
+        } catch (IOException e) {
+            logFailure("can't share memory with a sibling process: " + e);
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         if (lockFile != null) {
--- a/src/main/java/loadbalancer/node/Node.java
+++ b/src/main/java/loadbalancer/node/Node.java
@@ -8,6 +8,7 @@
 import loadbalancer.http1.downstream.ClientServer;
 import loadbalancer.proxy.LoadBalancerFactory;
 import loadbalancer.proxy.ProcessMetrics;
+import loadbalancer.proxy.RecentRequestIds;
 import loadbalancer.settings.InvalidInputException;
 import loadbalancer.transport.RepeatingTask;
 import loadbalancer.transport.SocketTransport;
@@ -32,6 +33,9 @@
         boolean isSiblingRunning = sibling.isRunning();
         CurrentConfig currentConfig = new CurrentConfig(config);
         components = NodeComponents.create(dependencies, config, sibling, isSiblingRunning);
+        sibling.sharedMemory(RecentRequestIds.SHARED_SIZE_BYTES)
+                .map(memory -> new RecentRequestIds(memory, dependencies.transport()::nanoTime))
+                .ifPresent(components.dispatcher()::shareRecentIds);
         siblingMonitor =
                 new SiblingMonitor(
                         sibling,
--- a/src/main/java/loadbalancer/node/SiblingProcess.java
+++ b/src/main/java/loadbalancer/node/SiblingProcess.java
@@ -1,6 +1,8 @@
 package loadbalancer.node;
 
 import java.io.Closeable;
+import java.nio.ByteBuffer;
+import java.util.Optional;
 
 /**
  * A second process of the same balancer at the same address, as during a hand-over. Used on the
@@ -15,4 +17,12 @@
 
     /** Announces to the other process whether this one accepts clients. */
     void setListening(boolean isListening);
+
+    /**
+     * Returns memory that the processes share, which stays when they end; empty if there is none.
+     * Its size must be the same in each process.
+     */
+    default Optional<ByteBuffer> sharedMemory(int sizeBytes) {
+        return Optional.empty();
+    }
 }
--- a/src/main/java/loadbalancer/proxy/AttemptEventHandler.java
+++ b/src/main/java/loadbalancer/proxy/AttemptEventHandler.java
@@ -45,7 +45,7 @@
         if (!request.isConcluded() && !request.client().isClientConnected()) {
             onDisconnect.accept(request.id());
         }
-        return request.mayBegin(attempt, clock.nowMicros());
+        return request.mayBegin(attempt, clock.nowMicros()) && request.recordId();
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/InFlightRequest.java
+++ b/src/main/java/loadbalancer/proxy/InFlightRequest.java
@@ -23,6 +23,7 @@
     private final RequestHead head;
     private final RequestBody body;
     private final ResponseSink client;
+    private final RecentRequestIds recentIds;
     private final List<UpstreamAttempt> attempts = new ArrayList<>(1);
 
     /**
@@ -36,6 +37,9 @@
     /** Null unless the body is blocked. */
     private ScheduledFuture<?> stallTimer;
 
+    /** Whether the id is among the recent ones because of this request. */
+    private boolean idRecorded;
+
     private boolean concluded;
     private boolean streaming;
 
@@ -45,7 +49,8 @@
             LoadBalancerSettings settings,
             RequestHead head,
             RequestBody body,
-            ResponseSink client) {
+            ResponseSink client,
+            RecentRequestIds recentIds) {
         RequestClass requestClass = settings.requestClasses().get(descriptor.classIndex());
         this.descriptor = descriptor;
         this.className = className;
@@ -62,6 +67,7 @@
         this.head = head;
         this.body = body;
         this.client = client;
+        this.recentIds = recentIds;
     }
 
     String id() {
@@ -197,6 +203,24 @@
                 && sendGuard.allows(attempt, attempts, deadlineMicros, nowMicros);
     }
 
+    /**
+     * Records the id before the first byte of an attempt is sent.
+     *
+     * @return false if another request with this id may have been executed, for example by another
+     *     process of this balancer; this one must not be sent then
+     */
+    boolean recordId() {
+        idRecorded = idRecorded || recentIds.add(id());
+        return idRecorded;
+    }
+
+    /** Forgets the id after the last attempt if none may have been executed. */
+    void forgetIdIfNotExecuted() {
+        if (idRecorded && attempts.stream().noneMatch(UpstreamAttempt::mayHaveBeenExecuted)) {
+            recentIds.remove(id());
+        }
+    }
+
     boolean hasOutstandingAttempt() {
         for (UpstreamAttempt attempt : attempts) {
             if (attempt.isOutstanding()) {
--- a/src/main/java/loadbalancer/proxy/InFlightRequests.java
+++ b/src/main/java/loadbalancer/proxy/InFlightRequests.java
@@ -67,6 +67,7 @@
             request.cancelDeadlineTimer();
             request.body().release();
             request.cancelStallTimer();
+            request.forgetIdIfNotExecuted();
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -45,6 +45,7 @@
     private final InFlightRequests requests;
     private final RequestTimers timers;
     private final EndpointTable endpoints = new EndpointTable();
+    private RecentRequestIds recentIds;
     private LoadedSettings settings;
     private EndpointDiscovery discovery;
     private volatile boolean ready;
@@ -72,6 +73,7 @@
         reports.updateSettings(settings.settings());
         this.audit = new SendAudit(metrics.violations(), transport::nanoTime, settings.settings());
         this.policy = new PolicyEventQueue(clock);
+        this.recentIds = RecentRequestIds.local(transport::nanoTime);
         this.requests = new InFlightRequests(metrics, audit);
         this.timers = new RequestTimers(loop, clock, this::expire);
         this.attempts = new AttemptRunner(loop, clock, upstreams, metrics, audit);
@@ -198,6 +200,16 @@
 
     // Clients
 
+    /** Uses ids that are shared with another process. Called before the first request. */
+    public void shareRecentIds(RecentRequestIds shared) {
+        recentIds = shared;
+    }
+
+    /** Returns whether a request with this id may have been executed, now or shortly before. */
+    public boolean isRecent(String id) {
+        return recentIds.contains(id);
+    }
+
     /** Returns whether a request with this id is in flight. */
     public boolean isInFlight(String id) {
         return requests.contains(id);
@@ -246,7 +258,8 @@
             return;
         }
         InFlightRequest request =
-                new InFlightRequest(descriptor, className, settings.settings(), head, body, client);
+                new InFlightRequest(
+                        descriptor, className, settings.settings(), head, body, client, recentIds);
         requests.add(request);
         timers.startDeadline(request, timeLeftMicros);
         if (isComplete) {
