A keyed request is not repeated where its connection was lost, if its scope is limited

Cause: the policy knows the scope of an id, and the process at its address may be another one after its connection was lost.

Change: with a scope of zone or cell, a request is not repeated to an endpoint at which it has lost a connection or got none; others in the scope stay.

--- a/src/main/java/loadbalancer/policy/AttemptLifecycle.java
+++ b/src/main/java/loadbalancer/policy/AttemptLifecycle.java
@@ -108,7 +108,7 @@
 
     private void recordEnd(
             OpenRequest request, Attempt attempt, AttemptResult result, long nowMicros) {
-        attempt.markEnded(result.outcome().provesNoExecution());
+        attempt.markEnded(result.outcome());
         attempt.finishWork(request.costMicros());
         boolean isRecordedAtStart =
                 request.isResponding()
--- a/src/main/java/loadbalancer/policy/RetryEligibility.java
+++ b/src/main/java/loadbalancer/policy/RetryEligibility.java
@@ -40,11 +40,12 @@
             return false;
         }
         Attempt first = request.firstPossiblyExecutedAttempt();
-        return first == null || mayRepeat(request.requestClass(), first, endpoint, nowMicros);
+        return first == null || mayRepeat(request, first, endpoint, nowMicros);
     }
 
     private boolean mayRepeat(
-            RequestClass requestClass, Attempt first, Endpoint endpoint, long nowMicros) {
+            OpenRequest request, Attempt first, Endpoint endpoint, long nowMicros) {
+        RequestClass requestClass = request.requestClass();
         if (requestClass.idempotency() == Idempotency.IDEMPOTENT) {
             return true;
         }
@@ -53,9 +54,27 @@
         return requestClass.idempotency() == Idempotency.KEYED
                 && isSameScope(
                         requestClass.idempotencyScope(), first.endpoint().entry(), endpoint.entry())
+                && isStillInScope(request, endpoint)
                 && nowMicros - first.sentAtMicros() < retryWindowMicros;
     }
 
+    /**
+     * Returns whether the process at the address of an endpoint is still the listed one, as far as
+     * the request has shown. Another process may belong to another zone or cell.
+     */
+    private static boolean isStillInScope(OpenRequest request, Endpoint endpoint) {
+        if (request.requestClass().idempotencyScope() == IdempotencyScope.ALL) {
+            return true;
+        }
+        for (int i = 0; i < request.attemptCount(); i++) {
+            Attempt attempt = request.attempt(i);
+            if (attempt.endpoint() == endpoint && attempt.isConnectionLost()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean isSameScope(
             IdempotencyScope scope, EndpointDescriptor first, EndpointDescriptor second) {
         return scope == IdempotencyScope.ALL
--- a/src/main/java/loadbalancer/policy/state/Attempt.java
+++ b/src/main/java/loadbalancer/policy/state/Attempt.java
@@ -1,11 +1,14 @@
 package loadbalancer.policy.state;
 
+import loadbalancer.AttemptOutcome;
+
 /** One sending of a request to an endpoint. */
 public final class Attempt {
     private final Endpoint endpoint;
     private final long sentAtMicros;
     private boolean isOutstanding = true;
     private boolean mayHaveExecuted = true;
+    private boolean isConnectionLost;
     private boolean isCountedInFlight;
     private boolean hasReachedLimit;
     private double queueLengthAtSend;
@@ -39,12 +42,21 @@
         return mayHaveExecuted;
     }
 
+    /** Records that the attempt has ended with this outcome. */
+    public void markEnded(AttemptOutcome outcome) {
+        isOutstanding = false;
+        mayHaveExecuted = !outcome.provesNoExecution();
+        isConnectionLost =
+                outcome == AttemptOutcome.CONNECTION_RESET
+                        || outcome == AttemptOutcome.CONNECT_FAILED;
+    }
+
     /**
-     * Records that the attempt has ended, and whether its outcome proves that it was not executed.
+     * Returns whether the connection was lost or could not be established, after which another
+     * process may be at the address of the endpoint.
      */
-    public void markEnded(boolean isProofOfNoExecution) {
-        isOutstanding = false;
-        mayHaveExecuted = !isProofOfNoExecution;
+    public boolean isConnectionLost() {
+        return isConnectionLost;
     }
 
     /** Counts the attempt as in flight: the endpoint can work on it from now on. */
