An endpoint whose address belongs to a new process is removed

Cause: entries were kept by id, and nothing compared addresses.

Change: EndpointTable.withoutReplaced removes the other endpoint of an address before pool, audit and policy see the list. The later start has the address; at the same start the entry of a change has it, and a complete list keeps both.

A new process that nobody has told of gets requests for the old id; nothing can tell it before.

--- a/src/main/java/loadbalancer/proxy/EndpointListUpdate.java
+++ b/src/main/java/loadbalancer/proxy/EndpointListUpdate.java
@@ -31,6 +31,19 @@
             double capacityWeight,
             long startedAtMillis) {
 
+        /** Returns this entry as that of a removed endpoint. */
+        Entry removed() {
+            return new Entry(
+                    id,
+                    address,
+                    zone,
+                    machineKind,
+                    cell,
+                    EndpointState.REMOVED,
+                    capacityWeight,
+                    startedAtMillis);
+        }
+
         /**
          * Converts the entry for the policy. The start is the listed Unix time in microseconds, the
          * unit of the policy's clock, and depends on no other clock. An entry that is listed again
--- a/src/main/java/loadbalancer/proxy/EndpointTable.java
+++ b/src/main/java/loadbalancer/proxy/EndpointTable.java
@@ -1,5 +1,7 @@
 package loadbalancer.proxy;
 
+import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +12,44 @@
     private final Map<String, EndpointListUpdate.Entry> entries = new LinkedHashMap<>();
     private long version;
 
+    /**
+     * Returns the update without endpoints whose address belongs to another one, which it removes:
+     * discovery may list a new process before it learns that the old one has gone. Of two endpoints
+     * with one address, the process that started later has it. If both started at the same time, it
+     * is the one of a change; a complete list does not tell.
+     */
+    EndpointListUpdate withoutReplaced(EndpointListUpdate update) {
+        Map<InetSocketAddress, EndpointListUpdate.Entry> owners = new HashMap<>();
+        if (!update.isComplete()) {
+            entries.values().forEach(entry -> owners.put(entry.address(), entry));
+        }
+        Map<String, EndpointListUpdate.Entry> remaining = new LinkedHashMap<>();
+        for (EndpointListUpdate.Entry entry : update.entries()) {
+            EndpointListUpdate.Entry owner = owners.get(entry.address());
+            remaining.put(entry.id(), entry);
+            if (entry.state() == EndpointState.REMOVED) {
+                continue;
+            }
+            if (owner == null || owner.id().equals(entry.id())) {
+                owners.put(entry.address(), entry);
+            } else if (isReplaced(owner, entry, update.isComplete())) {
+                remaining.put(owner.id(), owner.removed());
+                owners.put(entry.address(), entry);
+            } else if (isReplaced(entry, owner, true)) {
+                remaining.put(entry.id(), entry.removed());
+            }
+        }
+        return new EndpointListUpdate(
+                update.version(), update.isComplete(), List.copyOf(remaining.values()));
+    }
+
+    private static boolean isReplaced(
+            EndpointListUpdate.Entry owner, EndpointListUpdate.Entry next, boolean mustBeLater) {
+        return mustBeLater
+                ? next.startedAtMillis() > owner.startedAtMillis()
+                : next.startedAtMillis() >= owner.startedAtMillis();
+    }
+
     void apply(EndpointListUpdate update) {
         version = update.version();
         if (update.isComplete()) {
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -144,7 +144,8 @@
     // Discovery
 
     /** Applies an endpoint list, or changes to it, from discovery or from stored state. */
-    public void updateEndpoints(EndpointListUpdateType type, EndpointListUpdate list) {
+    public void updateEndpoints(EndpointListUpdateType type, EndpointListUpdate update) {
+        EndpointListUpdate list = endpoints.withoutReplaced(update);
         upstreams.updateEndpoints(list);
         audit.updateEndpoints(list, type == EndpointListUpdateType.RESTORED);
         endpoints.apply(list);
