--- a/src/main/java/loadbalancer/node/Config.java
+++ b/src/main/java/loadbalancer/node/Config.java
@@ -20,6 +20,8 @@
  *
  * @param adminAddress address of the admin endpoint; null for none
  * @param maxDescriptors number of file descriptors that the process may use
+ * @param memoryMegabytes memory that the balancer may use, two processes of a hand-over together; 0
+ *     if it is not limited
  * @param known endpoint list to start with
  * @param keyPaths all keys of the file; a reloaded file must contain each of them
  */
@@ -29,6 +31,7 @@
         InetSocketAddress adminAddress,
         long seed,
         int maxDescriptors,
+        int memoryMegabytes,
         EndpointListUpdate known,
         LoadedSettings facts,
         JsonKeyPaths keyPaths) {
@@ -50,6 +53,7 @@
                 adminAddress,
                 seed,
                 maxDescriptors,
+                memoryMegabytes,
                 known,
                 newSettings,
                 keyPaths);
@@ -58,7 +62,15 @@
     /** Returns a copy with another initial endpoint list. */
     public Config withKnown(EndpointListUpdate newList) {
         return new Config(
-                listen, discovery, adminAddress, seed, maxDescriptors, newList, facts, keyPaths);
+                listen,
+                discovery,
+                adminAddress,
+                seed,
+                maxDescriptors,
+                memoryMegabytes,
+                newList,
+                facts,
+                keyPaths);
     }
 
     /**
--- a/src/main/java/loadbalancer/node/ConfigReader.java
+++ b/src/main/java/loadbalancer/node/ConfigReader.java
@@ -22,6 +22,7 @@
     private InetSocketAddress adminAddress;
     private long seed;
     private int maxDescriptors = DEFAULT_MAX_DESCRIPTORS;
+    private int memoryMegabytes;
     private EndpointListUpdate known = EndpointListUpdate.EMPTY;
     private LoadedSettings settings;
 
@@ -54,7 +55,15 @@
         Config.check(settings);
         JsonKeyPaths keyPaths = JsonKeyPaths.of(text, "known");
         return new Config(
-                listen, discovery, adminAddress, seed, maxDescriptors, known, settings, keyPaths);
+                listen,
+                discovery,
+                adminAddress,
+                seed,
+                maxDescriptors,
+                memoryMegabytes,
+                known,
+                settings,
+                keyPaths);
     }
 
     private void readValue(String name, JsonToken value) throws InvalidInputException, IOException {
@@ -76,10 +85,12 @@
 
     private void readLimits() throws IOException {
         while (json.nextToken() == JsonToken.FIELD_NAME) {
-            boolean isMaxDescriptors = json.currentName().equals("sockets");
+            String name = json.currentName();
             JsonToken value = json.nextToken();
-            if (isMaxDescriptors && value.isNumeric()) {
+            if (name.equals("sockets") && value.isNumeric()) {
                 maxDescriptors = json.getIntValue();
+            } else if (name.equals("memory_mb") && value.isNumeric()) {
+                memoryMegabytes = json.getIntValue();
             }
             json.skipChildren();
         }
--- a/src/main/java/loadbalancer/node/ServeCommand.java
+++ b/src/main/java/loadbalancer/node/ServeCommand.java
@@ -16,6 +16,7 @@
 import loadbalancer.settings.OperatorFile;
 import loadbalancer.snapshot.DirectoryStorage;
 import loadbalancer.snapshot.Storage;
+import loadbalancer.transport.MemoryQuota;
 import loadbalancer.transport.MillisecondIoHandler;
 import loadbalancer.transport.SocketTransport;
 import loadbalancer.transport.Transport;
@@ -59,7 +60,9 @@
         startAdminServer(config, metrics, lifecycle);
         int warmupRequests = Warmup.run(config, WARMUP_REQUESTS, WARMUP_MAX_MILLIS);
         Transport transport =
-                environment == null ? new SocketTransport(loop) : environment.transport(loop);
+                environment == null
+                        ? new SocketTransport(loop, memoryQuota(config))
+                        : environment.transport(loop);
         StateStorage storage = storage(operatorFile, environment);
         LoadBalancerFactory loadBalancers =
                 environment == null ? LoadBalancerFactory.BALANCE : environment.loadBalancers();
@@ -116,6 +119,12 @@
                 .getNow();
     }
 
+    private static MemoryQuota memoryQuota(Config config) {
+        return new MemoryQuota(
+                MemoryLimits.peerMemoryBytes(
+                        config.memoryMegabytes(), Runtime.getRuntime().maxMemory()));
+    }
+
     /** Starts the admin endpoint on a separate thread, so that a busy balancer still responds. */
     private static void startAdminServer(Config config, ProcessMetrics metrics, Lifecycle lifecycle)
             throws InvalidInputException, IOException {
--- a/src/main/java/loadbalancer/transport/MemoryQuota.java
+++ b/src/main/java/loadbalancer/transport/MemoryQuota.java
@@ -69,7 +69,12 @@
 
     /** Creates a quota of a fixed fraction of the maximum heap of this process. */
     public static MemoryQuota ofHeap() {
-        return new MemoryQuota((long) (Runtime.getRuntime().maxMemory() * HEAP_RATIO));
+        return new MemoryQuota(limitOfHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    /** Returns the part of a heap that peers may use, in bytes. */
+    public static long limitOfHeap(long maxHeapBytes) {
+        return (long) (maxHeapBytes * HEAP_RATIO);
     }
 
     /** Creates a quota that is never exhausted. */
--- a/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
+++ b/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
@@ -39,6 +39,7 @@
     private final List<AutoCloseable> resources = new ArrayList<>();
     EventLoopGroup group;
     int sockets = 1024;
+    int memoryMegabytes = 256;
     String listen = "127.0.0.1:0";
     String idle = "10";
     String loadReports = "silent";
@@ -127,7 +128,9 @@
                         + "\",\"discovery\":\""
                         + discovery.addr()
                         + "\",\"seed\":\"8c1f30d27a5be964\","
-                        + "\"limits\":{\"cores\":1.0,\"sockets\":"
+                        + "\"limits\":{\"cores\":1.0,\"memory_mb\":"
+                        + memoryMegabytes
+                        + ",\"sockets\":"
                         + sockets
                         + "},"
                         + "\"known\":"
--- a/src/test/java/loadbalancer/node/PeerMemoryTest.java
+++ b/src/test/java/loadbalancer/node/PeerMemoryTest.java
@@ -8,20 +8,27 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import loadbalancer.faults.process.peer.Sockets;
 import loadbalancer.faults.process.peer.Sockets.Client;
 import loadbalancer.faults.process.peer.Sockets.Script;
 import loadbalancer.faults.process.peer.Sockets.Server;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * The program with its heap in service, among many peers that make it hold as much memory as one
@@ -31,6 +38,10 @@
     private static final long USUAL_MILLIS = 5_000;
     private static final long USUAL_INTERVAL_MILLIS = 20;
     private static final int UPSTREAMS = 4;
+
+    /** Between the 88 and the 208 MB that a deployment gives to two processes. */
+    private static final int MEMORY_MEGABYTES = 104;
+
     private static final long WORK_MILLIS = 100;
 
     /** Serves after some work, as endpoints do. */
@@ -68,10 +79,22 @@
         private final List<Iterator<ByteBuffer>> sources = new ArrayList<>();
         private final List<ByteBuffer> pending = new ArrayList<>();
         private final Thread writer = new Thread(this::writeAll, "crowd");
+        private final long pauseMillis;
         private volatile boolean closed;
 
         Crowd(InetSocketAddress to, int size, Supplier<Iterator<ByteBuffer>> source)
                 throws IOException {
+            this(to, size, 0, source);
+        }
+
+        /** Creates a crowd that pauses after each part of all connections. */
+        Crowd(
+                InetSocketAddress to,
+                int size,
+                long pauseMillis,
+                Supplier<Iterator<ByteBuffer>> source)
+                throws IOException {
+            this.pauseMillis = pauseMillis;
             for (int i = 0; i < size; i++) {
                 SocketChannel channel = SocketChannel.open(to);
                 channel.configureBlocking(false);
@@ -91,6 +114,14 @@
                 for (int i = 0; i < channels.size(); i++) {
                     write(i);
                 }
+                pause();
+            }
+        }
+
+        private void pause() {
+            if (pauseMillis > 0) {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMillis));
+            } else {
                 Thread.onSpinWait();
             }
         }
@@ -167,6 +198,77 @@
                 .replace("-Id: id-", "-Id: crowd-" + crowdRequests.incrementAndGet() + "-");
     }
 
+    /**
+     * Guards against garbage and buffers that exceed the memory of the configuration while clients
+     * upload slowly, or stop halfway, and one process replaces another. Counted is what comes on
+     * top of two processes at rest, since a test has no archive of classes. Pages of files count
+     * for neither process, since both map the same ones.
+     */
+    @ParameterizedTest
+    @CsvSource({"300000, 6400", "1000000, 250000"})
+    void bothProcessesOfAHandOverFitIntoTheMemoryOfTheConfiguration(int bodyBytes, int partBytes)
+            throws Exception {
+        memoryMegabytes = MEMORY_MEGABYTES;
+        startProgram(WORK);
+        Process former = process;
+        long atRest = anonymousKilobytes(former) / 1_024;
+        String part = "x".repeat(partBytes);
+        Supplier<Iterator<ByteBuffer>> uploads =
+                () ->
+                        IntStream.rangeClosed(0, bodyBytes / partBytes / 2)
+                                .mapToObj(i -> bytes(i == 0 ? uploadHead(bodyBytes) : part))
+                                .iterator();
+        try (Crowd crowd = new Crowd(address, 400, 100, uploads)) {
+            crowd.start();
+            long peak = peakMegabytes(List.of(former), 3_000);
+            startProgram(folder.resolve("config.json"), List.of());
+            atRest += anonymousKilobytes(process) / 1_024;
+            former.destroy();
+            try (Crowd next = new Crowd(address, 400, 100, uploads)) {
+                next.start();
+                peak = Math.max(peak, peakMegabytes(List.of(former, process), 3_000));
+            }
+            long forPeers = MEMORY_MEGABYTES - 2 * MemoryLimits.OWN_MEGABYTES;
+            assertTrue(
+                    peak - atRest <= forPeers, (peak - atRest) + " MB, limit " + forPeers + " MB");
+        } finally {
+            former.destroyForcibly();
+        }
+    }
+
+    private String uploadHead(int bodyBytes) {
+        return upload().replace(
+                        "Content-Length: 3\r\n\r\nbid",
+                        "Content-Length: " + bodyBytes + "\r\n\r\n");
+    }
+
+    /** Returns the most that the processes held together within a time, files left out. */
+    private static long peakMegabytes(List<Process> processes, long millis) throws Exception {
+        long peak = 0;
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < end) {
+            long sum = 0;
+            for (Process process : processes) {
+                sum += anonymousKilobytes(process);
+            }
+            peak = Math.max(peak, sum / 1_024);
+            Thread.sleep(20);
+        }
+        return peak;
+    }
+
+    /** Returns the memory of a process that belongs to no file; 0 once it has ended. */
+    private static long anonymousKilobytes(Process process) throws IOException {
+        Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+        try (Stream<String> lines = Files.lines(status)) {
+            return lines.filter(line -> line.startsWith("RssAnon:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                    .sum();
+        } catch (NoSuchFileException e) {
+            return 0;
+        }
+    }
+
     /** Guards against an exhausted heap by heads of many short fields that do not end. */
     @Test
     void unfinishedHeadsOfManyClientsDoNotExhaustTheHeap() throws Exception {
--- a/src/test/java/loadbalancer/node/control/Samples.java
+++ b/src/test/java/loadbalancer/node/control/Samples.java
@@ -52,7 +52,8 @@
     /** Returns the configuration of a balancer with the settings of {@link #file}. */
     static Config config() throws Exception {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
-        return new Config(address, address, null, 0, 512, EndpointListUpdate.EMPTY, file(), null);
+        return new Config(
+                address, address, null, 0, 512, 0, EndpointListUpdate.EMPTY, file(), null);
     }
 
     static Service service() {
