--- a/src/main/java/loadbalancer/faults/process/plan/Plan.java
+++ b/src/main/java/loadbalancer/faults/process/plan/Plan.java
@@ -143,6 +143,7 @@
                                 0.05 + 0.95 * random.nextDouble()));
             }
         }
+        addStops(steps, seed, first, random.nextInt(balancers), random.nextDouble());
         return new Plan(
                 seed,
                 balancers,
@@ -153,6 +154,18 @@
                 steps);
     }
 
+    /**
+     * Adds the end of a process by signals in series, with a successor or without one; in every
+     * third seed among a crowd.
+     */
+    private static void addStops(List<Step> steps, long seed, long at, int balancer, double size) {
+        Kind kind = seed % 4 < 2 ? Kind.HAND_OVER_SIGNALS : Kind.RESTART_SIGNALS;
+        if (seed % 3 == 0) {
+            steps.add(new Step(at, Kind.CROWD, balancer, 0, BETWEEN_MOMENTS_MS, 1));
+        }
+        steps.add(new Step(at + OVERLAP_MS, kind, balancer, 0, 0, size));
+    }
+
     /** Whether a balancer's process must be one that can be put out of order. */
     public boolean skewed(int balancer) {
         return steps.stream().anyMatch(s -> s.kind().skewed() && s.who() == balancer);
--- a/src/main/java/loadbalancer/faults/process/plan/Step.java
+++ b/src/main/java/loadbalancer/faults/process/plan/Step.java
@@ -114,7 +114,13 @@
         /** Datagrams are lost, doubled, late and spoilt, each with that chance. */
         STORM(Whom.MEMBERS, 2, false),
         /** A member alone from all others. */
-        ALONE(Whom.BALANCER, 1, false);
+        ALONE(Whom.BALANCER, 1, false),
+        /** SIGTERM with a successor, then SIGHUP and SIGTERM in series. */
+        HAND_OVER_SIGNALS(Whom.BALANCER, 1, false),
+        /** SIGTERM with no successor, then SIGHUP and SIGTERM in series, and a start. */
+        RESTART_SIGNALS(Whom.BALANCER, 1, false),
+        /** Hundreds of connections that say nothing, half a head, or half a body. */
+        CROWD(Whom.BALANCER, 1, false);
 
         final Whom whom;
         final int weight;
--- a/src/main/java/loadbalancer/faults/process/program/BalancerInstance.java
+++ b/src/main/java/loadbalancer/faults/process/program/BalancerInstance.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import loadbalancer.faults.process.Broken;
 import loadbalancer.faults.process.RigFailure;
 import loadbalancer.faults.process.check.Disturbance;
@@ -25,6 +26,14 @@
  * done to it is done one after the other, and is written down.
  */
 public final class BalancerInstance implements AutoCloseable {
+    /** The longest deadline that counts for the time of SIGKILL. */
+    private static final long LONGEST_DEADLINE_MS = 3_000;
+
+    /** SIGKILL comes so long after the longest deadline, counted from SIGTERM. */
+    private static final long KILL_AFTER_DEADLINE_MS = 700;
+
+    private static final long BETWEEN_SIGNALS_MS = 50;
+
     private final int balancer;
     private final Topology topology;
     private final Program program;
@@ -160,21 +169,39 @@
 
     /** Ends its process in order, with no successor, and starts another. */
     public synchronized void restart() {
+        restart(this::stop);
+    }
+
+    /** The same with further signals, and SIGKILL at the earliest time at which it may come. */
+    public synchronized void restartWithSignals(int moreSignals) {
+        restart(child -> stopWithSignals(child, moreSignals));
+    }
+
+    private void restart(Consumer<Child> stop) {
         long from = RealTime.micros();
-        stop(current);
+        stop.accept(current);
         start();
         note(Kind.STOPPED, from);
     }
 
     /** Has a second process take over from the first. */
     public synchronized void handOver() {
+        handOver(this::stop);
+    }
+
+    /** The same with further signals, and SIGKILL at the earliest time at which it may come. */
+    public synchronized void handOverWithSignals(int moreSignals) {
+        handOver(child -> stopWithSignals(child, moreSignals));
+    }
+
+    private void handOver(Consumer<Child> stop) {
         Child before = current;
         Child successor = begin();
         note(Kind.BEGAN, RealTime.micros());
         successor.awaitReady();
         current = successor;
         long from = RealTime.micros();
-        stop(before);
+        stop.accept(before);
         note(Kind.HANDED_OVER, from);
     }
 
@@ -248,12 +275,38 @@
         child.mustKeepItsRules();
         child.mayEnd();
         child.signal("TERM");
+        mustEndWell(child);
+    }
+
+    private static void mustEndWell(Child child) {
         int code = child.awaitEnd();
         if (code != 0) {
             throw new Broken(child.name() + " ended with code " + code + " after SIGTERM");
         }
     }
 
+    private void stopWithSignals(Child child, int moreSignals) {
+        child.mustKeepItsRules();
+        child.mayEnd();
+        long killAt =
+                RealTime.micros()
+                        + TimeUnit.MILLISECONDS.toMicros(
+                                Math.min(LONGEST_DEADLINE_MS, topology.deployment().longestMs())
+                                        + KILL_AFTER_DEADLINE_MS);
+        child.signal("TERM");
+        for (int i = 0; i < moreSignals; i++) {
+            pause(BETWEEN_SIGNALS_MS);
+            if (child.lives()) {
+                child.signal(i % 2 == 0 ? "HUP" : "TERM");
+            }
+        }
+        if (!child.endsWithin(TimeUnit.MICROSECONDS.toMillis(killAt - RealTime.micros()))) {
+            child.kill();
+            return;
+        }
+        mustEndWell(child);
+    }
+
     private void note(Kind kind, long from) {
         log.note(new Disturbance(kind, balancer, null, from, RealTime.micros()));
     }
--- a/src/main/java/loadbalancer/faults/process/program/Child.java
+++ b/src/main/java/loadbalancer/faults/process/program/Child.java
@@ -129,6 +129,15 @@
         }
     }
 
+    /** Waits for its end for a time at most, and returns whether it has ended. */
+    public boolean endsWithin(long millis) {
+        try {
+            return process.waitFor(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw interrupted(e);
+        }
+    }
+
     /** Waits for its end, and returns its code. */
     public int awaitEnd() {
         try {
--- a/src/main/java/loadbalancer/faults/process/run/StepRunner.java
+++ b/src/main/java/loadbalancer/faults/process/run/StepRunner.java
@@ -7,6 +7,7 @@
 import loadbalancer.faults.process.RigFailure;
 import loadbalancer.faults.process.check.Disturbance;
 import loadbalancer.faults.process.check.Disturbance.Kind;
+import loadbalancer.faults.process.peer.Crowd;
 import loadbalancer.faults.process.peer.DiscoveryStandIn;
 import loadbalancer.faults.process.peer.Pace;
 import loadbalancer.faults.process.peer.RealTime;
@@ -16,23 +17,24 @@
 import loadbalancer.faults.process.program.Odds;
 import loadbalancer.faults.process.relay.LinkConditions;
 import loadbalancer.faults.process.relay.TcpRelay;
-import loadbalancer.faults.process.shim.Errno;
-import loadbalancer.faults.process.shim.FaultyCall;
-import loadbalancer.faults.process.shim.SyscallFaultPage;
 
 /** Does what a step says, and returns when it is over. */
 final class StepRunner {
     private static final long MOST_CLOCK_MS = 3_600_000;
 
-    /** The longest that the operators' page has, in microseconds. */
-    private static final long LONGEST_HOLD_UP = 150_000;
-
     private static final int MOST_LEAK = 64 * 1024;
 
+    private static final int MOST_SIGNALS = 5;
+
+    /** Fewer than a balancer's limit on connections, since a crowd is not to keep others out. */
+    private static final int MOST_CONNECTIONS = 150;
+
     private final Scene scene;
+    private final SystemFaultRunner systemFaults;
 
     StepRunner(Scene scene) {
         this.scene = scene;
+        this.systemFaults = new SystemFaultRunner(scene.log);
     }
 
     void step(Step s) {
@@ -52,6 +54,9 @@
             case STOP -> instance.pauseFor(s.forMs());
             case HAND_OVER -> instance.handOver();
             case RESTART -> instance.restart();
+            case HAND_OVER_SIGNALS -> instance.handOverWithSignals(moreSignals(s));
+            case RESTART_SIGNALS -> instance.restartWithSignals(moreSignals(s));
+            case CROWD -> crowd(s);
             case RELOAD -> instance.reload(true, s.forMs());
             case RELOAD_BROKEN -> instance.reload(false, s.forMs());
             case CLOCK ->
@@ -76,153 +81,24 @@
                 BalancerInstance.pause(s.forMs());
                 scene.members().around(s.who(), LinkConditions.CLEAR);
             }
-            default -> systemFault(s, instance);
+            default -> systemFaults.run(s, instance);
         }
     }
 
-    /** Faults below the program: its clock and its system calls. */
-    private void systemFault(Step s, BalancerInstance instance) {
-        switch (s.kind()) {
-            case WALL_CLOCK ->
-                    withFaults(
-                            instance,
-                            s,
-                            page -> page.wallClockOff(clockOff(s)),
-                            page -> page.wallClockOff(0));
-            case ACCEPT_FAILS ->
-                    fail(
-                            instance,
-                            s,
-                            FaultyCall.ACCEPT,
-                            draw(
-                                    s,
-                                    Errno.ENFILE,
-                                    Errno.EMFILE,
-                                    Errno.ENOBUFS,
-                                    Errno.ENOMEM,
-                                    Errno.EINTR,
-                                    Errno.ECONNABORTED));
-            case SOCKET_FAILS ->
-                    fail(
-                            instance,
-                            s,
-                            FaultyCall.SOCKET,
-                            draw(s, Errno.ENFILE, Errno.EMFILE, Errno.ENOBUFS, Errno.ENOMEM));
-            case CONNECT_FAILS ->
-                    fail(
-                            instance,
-                            s,
-                            FaultyCall.CONNECT,
-                            draw(
-                                    s,
-                                    Errno.EADDRNOTAVAIL,
-                                    Errno.ENETUNREACH,
-                                    Errno.ENOBUFS,
-                                    Errno.EHOSTUNREACH));
-            default -> connectionOrFileFault(s, instance);
-        }
+    private static int moreSignals(Step s) {
+        return 1 + (int) (MOST_SIGNALS * s.size());
     }
 
-    private void connectionOrFileFault(Step s, BalancerInstance instance) {
-        switch (s.kind()) {
-            case OWN_CONNECTIONS_BREAK ->
-                    fail(
-                            instance,
-                            s,
-                            s.other() % 2 == 0 ? FaultyCall.READ : FaultyCall.WRITE,
-                            draw(s, Errno.ETIMEDOUT, Errno.EHOSTUNREACH, Errno.EPIPE));
-            case SHORT_IO -> shortIo(instance, s);
-            case HELD_UP -> {
-                long from = RealTime.micros();
-                withFaults(
-                        instance,
-                        s,
-                        page -> page.holdUpWrites(LONGEST_HOLD_UP, s.size() / 20),
-                        page -> page.holdUpWrites(0, 0));
-                note(s.who(), from);
-            }
-            case FILES_FAIL ->
-                    fail(
-                            instance,
-                            s,
-                            draw(s, FaultyCall.FILE_WRITE, FaultyCall.FSYNC, FaultyCall.RENAME),
-                            draw(s, Errno.ENOSPC, Errno.EIO));
-            default -> throw new IllegalArgumentException(s.kind().name());
+    private void crowd(Step s) {
+        int connections = 1 + (int) (MOST_CONNECTIONS * s.size());
+        Crowd crowd = new Crowd(scene.topology.listen(s.who()), connections);
+        try {
+            BalancerInstance.pause(s.forMs());
+        } finally {
+            crowd.close();
         }
     }
 
-    private static long clockOff(Step s) {
-        return Math.round((2 * s.size() - 1) * MOST_CLOCK_MS);
-    }
-
-    /** One of these, by the size that was drawn. */
-    @SafeVarargs
-    private static <T> T draw(Step s, T... all) {
-        return all[(int) (s.size() * 1_000) % all.length];
-    }
-
-    private void note(int balancer, long from) {
-        scene.log.note(new Disturbance(Kind.HELD_UP, balancer, null, from, RealTime.micros()));
-    }
-
-    /** Has calls fail, seldom or always. Those who wait for a connection wait longer meanwhile. */
-    private void fail(BalancerInstance instance, Step s, FaultyCall call, Errno errno) {
-        long from = RealTime.micros();
-        double chance =
-                s.size() > 0.5
-                                && call != FaultyCall.READ
-                                && call != FaultyCall.WRITE
-                                && errno != Errno.EINTR
-                                && errno != Errno.ECONNABORTED
-                        ? 1
-                        : s.size() / 4;
-        withFaults(
-                instance,
-                s,
-                page -> page.fail(call, errno, chance, SyscallFaultPage.WITHOUT_LIMIT),
-                page -> page.heal(call));
-        note(s.who(), from);
-    }
-
-    private void shortIo(BalancerInstance instance, Step s) {
-        withFaults(
-                instance,
-                s,
-                page -> {
-                    page.fail(
-                            FaultyCall.SHORT_READ,
-                            Errno.NONE,
-                            s.size(),
-                            SyscallFaultPage.WITHOUT_LIMIT);
-                    page.fail(
-                            FaultyCall.SHORT_WRITE,
-                            Errno.NONE,
-                            s.size(),
-                            SyscallFaultPage.WITHOUT_LIMIT);
-                    page.fail(
-                            FaultyCall.EPOLL_WAIT,
-                            Errno.EINTR,
-                            s.size() / 2,
-                            SyscallFaultPage.WITHOUT_LIMIT);
-                },
-                page -> {
-                    page.heal(FaultyCall.SHORT_READ);
-                    page.heal(FaultyCall.SHORT_WRITE);
-                    page.heal(FaultyCall.EPOLL_WAIT);
-                });
-    }
-
-    /** Does nothing where the system has no compiler for the library; the rig says so once. */
-    private static void withFaults(
-            BalancerInstance instance,
-            Step s,
-            Consumer<SyscallFaultPage> begin,
-            Consumer<SyscallFaultPage> end) {
-        instance.faults().ifPresent(begin);
-        BalancerInstance.pause(s.forMs());
-        instance.faults().ifPresent(end);
-    }
-
     private static void odds(BalancerInstance instance, Odds odds, Step s) {
         instance.odds(odds);
         BalancerInstance.pause(s.forMs());
@@ -370,7 +246,7 @@
 
     private void members(Step s) {
         if (s.kind() == Step.Kind.ALL_WALL_CLOCKS) {
-            allClocks(clockOff(s));
+            allClocks(SystemFaultRunner.clockOff(s));
             BalancerInstance.pause(s.forMs());
             allClocks(0);
         } else if (s.kind() == Step.Kind.CLIENTS_LEAVE) {
