DEBUG log: why each request expires, how attempts and connections end, with ids

Change: RequestLog (logger loadbalancer.proxy.RequestLog) writes a request's expiry with its reason and the bytes received, the outcome of each attempt with its endpoint, and the end; connections of clients and endpoints say why they are closed, half-closed or rejected.

--- a/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
@@ -189,7 +189,7 @@
      * arrive later are not read, so the client may receive a reset.
      */
     void evict() {
-        endUnlessInUse(this::close);
+        endUnlessInUse(() -> close("its slot is needed"));
     }
 
     private void endUnlessInUse(Runnable end) {
@@ -197,7 +197,7 @@
             return;
         }
         if (!channel.isOpen()) {
-            close();
+            close("the client has disconnected");
         } else if (hasNoRequest()) {
             end.run();
         } else {
@@ -205,6 +205,18 @@
         }
     }
 
+    private void logEnd(String what, String reason) {
+        LOG.log(
+                System.Logger.Level.DEBUG,
+                () ->
+                        "connection of client "
+                                + channel.remoteAddress()
+                                + " "
+                                + what
+                                + ": "
+                                + reason);
+    }
+
     /** Returns whether the connection carries no request and no part of one. */
     private boolean hasNoRequest() {
         return isNew() || activity == ConnectionActivity.IDLE;
@@ -221,8 +233,11 @@
     /**
      * Closes the connection. It counts as closed at once, while the channel reports its close
      * later.
+     *
+     * @param reason for the log
      */
-    void close() {
+    void close(String reason) {
+        logEnd("closed", reason);
         state = ConnectionState.CLOSED;
         server.connections().remove(this);
         leaveActivity();
@@ -236,6 +251,7 @@
      */
     private void linger() {
         audit.closing(channel.isActive());
+        logEnd("half-closed", "after its last response, or unused");
         sequencer.releaseRequests();
         state = ConnectionState.LINGERING;
         inbound.discard();
@@ -264,7 +280,7 @@
                     "closed a client connection after an unexpected exception",
                     cause);
         }
-        close();
+        close(cause.toString());
     }
 
     // Requests and responses
@@ -306,6 +322,7 @@
         if (state != ConnectionState.OPEN) {
             return;
         }
+        logEnd("rejected with " + status.code(), reason);
         closeAfterResponse();
         if (writer.isResponding()) {
             sequencer.releaseRequests();
@@ -345,6 +362,6 @@
 
     @Override
     public void writeFailed() {
-        close();
+        close("a write failed");
     }
 }
--- a/src/main/java/loadbalancer/http1/downstream/ClientServer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientServer.java
@@ -255,7 +255,7 @@
     }
 
     void closeAll() {
-        connections.all().forEach(ClientConnection::close);
+        connections.all().forEach(connection -> connection.close("the process stops"));
         if (isListening()) {
             dispatcher
                     .violations()
--- a/src/main/java/loadbalancer/http1/downstream/ConnectionReaper.java
+++ b/src/main/java/loadbalancer/http1/downstream/ConnectionReaper.java
@@ -40,6 +40,10 @@
     private static final long EVICT_IDLE_MILLIS = 2_000;
     private static final long EVICT_UNREAD_RESPONSE_MILLIS = 6_000;
 
+    // Reasons for the log.
+    private static final String NOT_CLOSED = "the client does not close its side";
+    private static final String NOT_READ = "the client does not read its response";
+
     private final ConnectionRegistry connections;
 
     ConnectionReaper(ConnectionRegistry connections) {
@@ -54,11 +58,11 @@
             connections.longestIn(ConnectionActivity.IDLE).retire();
         }
         while (connections.anyLongerThan(ConnectionActivity.LINGERING, LINGER_TIMEOUT_MILLIS)) {
-            connections.longestIn(ConnectionActivity.LINGERING).close();
+            connections.longestIn(ConnectionActivity.LINGERING).close(NOT_CLOSED);
         }
         while (connections.anyLongerThan(
                 ConnectionActivity.AWAITING_CLIENT_READ, WRITE_TIMEOUT_MILLIS)) {
-            connections.longestIn(ConnectionActivity.AWAITING_CLIENT_READ).close();
+            connections.longestIn(ConnectionActivity.AWAITING_CLIENT_READ).close(NOT_READ);
         }
     }
 
@@ -73,7 +77,7 @@
     void evictToLimit(int maxConnections) {
         while (connections.size() >= maxConnections) {
             if (connections.anyLongerThan(ConnectionActivity.LINGERING, EVICT_LINGERING_MILLIS)) {
-                connections.longestIn(ConnectionActivity.LINGERING).close();
+                connections.longestIn(ConnectionActivity.LINGERING).close(NOT_CLOSED);
                 continue;
             }
             Optional<ClientConnection> candidate = evictionCandidate();
@@ -104,7 +108,7 @@
                 ConnectionActivity.AWAITING_CLIENT_READ, EVICT_UNREAD_RESPONSE_MILLIS)) {
             return false;
         }
-        connections.longestIn(ConnectionActivity.AWAITING_CLIENT_READ).close();
+        connections.longestIn(ConnectionActivity.AWAITING_CLIENT_READ).close(NOT_READ);
         return true;
     }
 
--- a/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
+++ b/src/main/java/loadbalancer/http1/downstream/RequestSequencer.java
@@ -245,7 +245,7 @@
             boolean last = closesAfterStream;
             writer.writeEnd(() -> responseWritten(last));
         } else {
-            connection.close(); // the client detects the truncated body
+            connection.close("the response is incomplete"); // seen from its framing
         }
     }
 
--- a/src/main/java/loadbalancer/http1/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/http1/upstream/UpstreamConnection.java
@@ -194,6 +194,15 @@
     /** Closes the connection and ends the exchange without a complete response. */
     private void abort(AttemptOutcome outcome) {
         ResponseReader incomplete = response;
+        LOG.log(
+                System.Logger.Level.DEBUG,
+                () ->
+                        "connection to "
+                                + channel.remoteAddress()
+                                + " closed within a response, state "
+                                + incomplete.state()
+                                + ": "
+                                + outcome);
         response = null;
         close();
         incomplete.abort(outcome);
--- a/src/main/java/loadbalancer/proxy/AttemptRunner.java
+++ b/src/main/java/loadbalancer/proxy/AttemptRunner.java
@@ -122,7 +122,9 @@
             UpstreamAttempt attempt,
             AttemptOutcome outcome,
             Response response) {
-        listener.ended(request, attempt, attempt.end(outcome), response);
+        AttemptOutcome reported = attempt.end(outcome);
+        RequestLog.attemptEnded(request, attempt, reported);
+        listener.ended(request, attempt, reported, response);
     }
 
     /** Receives the events of one attempt from the transport. */
--- a/src/main/java/loadbalancer/proxy/InFlightRequests.java
+++ b/src/main/java/loadbalancer/proxy/InFlightRequests.java
@@ -46,6 +46,7 @@
         request.conclude();
         audit.responded(request.audit());
         metrics.requestEnded(request.className(), ending);
+        RequestLog.concluded(request, ending);
         removeIfDone(request);
     }
 
@@ -53,6 +54,7 @@
     void abandon(InFlightRequest request) {
         request.conclude();
         metrics.requestAbandoned();
+        RequestLog.abandoned(request);
         removeIfDone(request);
     }
 
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -324,7 +324,8 @@
      * Ends all attempts of a request at its deadline. If the policy, which receives these results,
      * does not conclude the request, the request fails.
      */
-    private void expire(InFlightRequest request) {
+    private void expire(InFlightRequest request, RequestLog.Expiry expiry) {
+        RequestLog.expired(request, expiry);
         attempts.abandonAll(request, attempt -> true, AttemptOutcome.TIMEOUT);
         policy.post(
                 (policy, now) -> {
@@ -344,7 +345,7 @@
             // Otherwise the policy would send another attempt when it learns of the end of this
             // one.
             request.expireNow(clock.nowMicros());
-            expire(request);
+            expire(request, RequestLog.Expiry.SHUTDOWN);
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/RequestTimers.java
+++ b/src/main/java/loadbalancer/proxy/RequestTimers.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /**
  * Runs the timers of requests: the deadline, which counts from the last byte of a request, and the
@@ -20,14 +20,17 @@
 
     private final EventLoop loop;
     private final PolicyClock clock;
-    private final Consumer<InFlightRequest> onExpired;
+    private final BiConsumer<InFlightRequest, RequestLog.Expiry> onExpired;
 
     /**
      * Creates the timers.
      *
      * @param onExpired runs when the deadline or the stall time-out of a request expires
      */
-    RequestTimers(EventLoop loop, PolicyClock clock, Consumer<InFlightRequest> onExpired) {
+    RequestTimers(
+            EventLoop loop,
+            PolicyClock clock,
+            BiConsumer<InFlightRequest, RequestLog.Expiry> onExpired) {
         this.loop = loop;
         this.clock = clock;
         this.onExpired = onExpired;
@@ -38,7 +41,9 @@
         request.setDeadline(
                 clock.nowMicros() + timeLeftMicros,
                 loop.schedule(
-                        () -> onExpired.accept(request), timeLeftMicros, TimeUnit.MICROSECONDS));
+                        () -> onExpired.accept(request, RequestLog.Expiry.DEADLINE),
+                        timeLeftMicros,
+                        TimeUnit.MICROSECONDS));
     }
 
     /** Starts the deadline of a request whose last byte was read. */
@@ -58,7 +63,7 @@
         if (isBlocked && !request.isConcluded() && !request.isStreaming()) {
             request.setStallTimer(
                     loop.schedule(
-                            () -> onExpired.accept(request),
+                            () -> onExpired.accept(request, RequestLog.Expiry.UPLOAD_BLOCKED),
                             stallTimeoutMicros(request),
                             TimeUnit.MICROSECONDS));
         }
