--- a/src/main/java/loadbalancer/http1/codec/LimitedHttpHeaders.java
+++ b/src/main/java/loadbalancer/http1/codec/LimitedHttpHeaders.java
@@ -17,7 +17,6 @@
     private static final int FIELD_OVERHEAD_BYTES = 136;
 
     private final LimitedHttpHeadersFactory factory;
-    private int fieldCount;
     private long heldBytes;
 
     LimitedHttpHeaders(LimitedHttpHeadersFactory factory, DefaultHttpHeadersFactory validators) {
@@ -32,8 +31,7 @@
      */
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
-        fieldCount++;
-        if (fieldCount > MAX_FIELDS) {
+        if (size() >= MAX_FIELDS) {
             throw new IllegalArgumentException("more than " + MAX_FIELDS + " header fields");
         }
         super.add(name, value);
