Less memory for peers where the configuration gives little: connections count, too

Seen: PeerMemoryTest.bothProcesses... 29 MB, limit 28, in one run of the whole suite beside other work. Cause: what a connection takes beside its bytes (pipeline, decoder, heads in part) is not in the quota, and 400 connections have some. Change: three bytes of heap for each byte held in place of two; the bound of the test stays.

--- a/src/main/java/loadbalancer/node/MemoryLimits.java
+++ b/src/main/java/loadbalancer/node/MemoryLimits.java
@@ -10,8 +10,11 @@
     /** Memory of a process that serves and holds nothing for peers. */
     static final int OWN_MEGABYTES = 38;
 
-    /** Heap that a byte held takes, with garbage that has not been collected. */
-    private static final double HEAP_PER_HELD_BYTE = 2;
+    /**
+     * Heap that a byte held takes, with garbage that has not been collected, and with what its
+     * connection takes that is not counted.
+     */
+    private static final double HEAP_PER_HELD_BYTE = 3;
 
     /** Enough for some tens of requests, however little memory there is. */
     private static final long MIN_QUOTA_BYTES = 2L << 20;
--- a/src/test/java/loadbalancer/node/MemoryLimitsTest.java
+++ b/src/test/java/loadbalancer/node/MemoryLimitsTest.java
@@ -20,7 +20,7 @@
     @ValueSource(ints = {88, 96, 104, 128, 208})
     void twoProcessesWithTheirGarbageFitIntoTheMemory(int megabytes) {
         long limit = MemoryLimits.peerMemoryBytes(megabytes, HEAP_BYTES);
-        long oneProcess = (38L << 20) + 2 * limit;
+        long oneProcess = (38L << 20) + 3 * limit;
         assertTrue(2 * oneProcess <= (long) megabytes << 20, limit + " bytes");
     }
 
