Reads of many small parts take turns over all clients

Cause: each connection has its share of a turn, and 400 times 8,000 parts of a microsecond are seconds.

--- a/src/main/java/loadbalancer/http1/codec/ContentMerger.java
+++ b/src/main/java/loadbalancer/http1/codec/ContentMerger.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.function.IntConsumer;
 
 /**
  * Merges the small parts of a body that one read brings. Each part that is passed on costs a write
@@ -21,9 +22,27 @@
     /** Size in bytes from which merged parts are passed on before the end of the read. */
     private static final int MAX_MERGED_BYTES = 16 * 1024;
 
+    private final IntConsumer onReadEnd;
+
     /** The parts of the current read; null if there is none. */
     private ByteBuf merged;
 
+    private int smallParts;
+
+    /** Creates a merger whose parts nobody counts. */
+    public ContentMerger() {
+        this(smallParts -> {});
+    }
+
+    /**
+     * Creates a merger.
+     *
+     * @param onReadEnd receives the number of small parts of each read
+     */
+    public ContentMerger(IntConsumer onReadEnd) {
+        this.onReadEnd = onReadEnd;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!isSmallPart(message)) {
@@ -31,6 +50,7 @@
             context.fireChannelRead(message);
             return;
         }
+        smallParts++;
         HttpContent part = (HttpContent) message;
         try {
             add(part.content());
@@ -68,6 +88,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         passOn(context);
+        int counted = smallParts;
+        smallParts = 0;
+        onReadEnd.accept(counted);
         context.fireChannelReadComplete();
     }
 
--- a/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientChannelInitializer.java
@@ -69,7 +69,7 @@
                 .addLast(
                         connection.inboundMonitor(),
                         new HttpServerCodec(decoder),
-                        new ContentMerger(),
+                        new ContentMerger(connection.inboundMonitor()::smallPartsRead),
                         connection.audit(),
                         connection);
     }
--- a/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientConnection.java
@@ -49,7 +49,7 @@
     ClientConnection(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
-        this.inbound = new InboundByteMonitor(server.transport(), this);
+        this.inbound = new InboundByteMonitor(server.transport(), this, server.smallPartPacer());
         this.headers = new LimitedHttpHeadersFactory(server.transport().memoryQuota());
         this.audit =
                 new ResponseAudit(server.dispatcher().violations(), server.transport()::nanoTime);
--- a/src/main/java/loadbalancer/http1/downstream/ClientServer.java
+++ b/src/main/java/loadbalancer/http1/downstream/ClientServer.java
@@ -34,6 +34,7 @@
     private final RequestDispatcher dispatcher;
     private final ConnectionRegistry connections = new ConnectionRegistry();
     private final ConnectionReaper reaper = new ConnectionReaper(connections);
+    private final SmallPartPacer smallPartPacer = new SmallPartPacer();
     private final GracefulShutdown shutdown;
     private RequestValidator validator;
     private int maxConnections;
@@ -123,6 +124,10 @@
         return dispatcher;
     }
 
+    SmallPartPacer smallPartPacer() {
+        return smallPartPacer;
+    }
+
     ConnectionRegistry connections() {
         return connections;
     }
--- a/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
+++ b/src/main/java/loadbalancer/http1/downstream/InboundByteMonitor.java
@@ -71,6 +71,7 @@
 
     private final Transport transport;
     private final Owner owner;
+    private final SmallPartPacer pacer;
     private final MemoryQuota quota;
     private final AccumulationBuffer buffered;
     private State state = State.PASSING;
@@ -80,6 +81,10 @@
     private boolean deliveredInRead;
     private boolean inRead;
     private boolean overrun;
+
+    /** Whether reading waits for the turn of this connection. */
+    private boolean paced;
+
     private long readCount;
 
     /** Monotonic time at which the last byte arrived. */
@@ -89,7 +94,8 @@
     private long lastReadNanos;
 
     /** Creates a monitor that passes bytes on. */
-    InboundByteMonitor(Transport transport, Owner owner) {
+    InboundByteMonitor(Transport transport, Owner owner, SmallPartPacer pacer) {
+        this.pacer = pacer;
         this.transport = transport;
         this.owner = owner;
         this.quota = transport.memoryQuota();
@@ -152,14 +158,31 @@
     /** Starts or stops reading, depending on the room for the bytes that are read. */
     void updateReading() {
         boolean hasRoom =
-                state != State.BUFFERING
-                        || !quota.isUnderPressure()
+                state == State.DISCARDING
+                        || state == State.PASSING && !paced
+                        || state == State.BUFFERING
+                                && !quota.isUnderPressure()
                                 && (owner.isPipelining() || buffered.size() < MAX_READ_AHEAD_BYTES);
         if (ctx.channel().isOpen()) {
             ctx.channel().config().setAutoRead(hasRoom);
         }
     }
 
+    /** Reads no more for a while after a read of many small parts. */
+    void smallPartsRead(int parts) {
+        long delayNanos = pacer.charge(parts, transport.nanoTime());
+        if (delayNanos > 0 && !paced) {
+            paced = true;
+            updateReading();
+            transport.loop().schedule(this::endPacing, delayNanos, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void endPacing() {
+        paced = false;
+        updateReading();
+    }
+
     // Reading
 
     /**
