--- a/review/standins-2/Clients.java
+++ b/review/standins-2/Clients.java
@@ -11,6 +11,8 @@
  * whose connection was closed between two requests sends its request once more on a new one.
  */
 final class Clients {
+    private static final int KEYS = 1_000;
+
     private final Rig rig;
     private final String balancer;
     private final String requestClass;
@@ -51,6 +53,7 @@
         SplittableRandom random = new SplittableRandom(client * 7_919L + System.nanoTime());
         Socket socket = null;
         InputStream in = null;
+        Rig.pause(random.nextInt(maxRestMillis)); // so that they do not all send at once
         while (isRunning) {
             Rig.pause(random.nextInt(minRestMillis, maxRestMillis));
             String id = String.format("%s%02d-%06d-%d", requestClass.substring(0, 1), client, numbers.incrementAndGet(), rig.now());
@@ -69,7 +72,7 @@
                             "client sends "
                                     + id
                                     + (isNew ? " on a new connection" : " on a kept connection"));
-                    socket.getOutputStream().write(request(id));
+                    socket.getOutputStream().write(request(id, random.nextInt(KEYS)));
                     Rig.Answer answer = Rig.answer(in);
                     rig.detail(rig.now(), "client got " + answer.status() + " for " + id);
                     (answer.status() == 200 && answer.body().equals(id) ? served : others)
@@ -99,10 +102,12 @@
         }
     }
 
-    private byte[] request(String id) {
+    private byte[] request(String id, int key) {
         return ("GET /"
                         + requestClass
-                        + "?key=k1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: "
+                        + "?key=k"
+                        + key
+                        + " HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: "
                         + id
                         + "\r\nX-Service-Class: "
                         + requestClass
--- a/review/standins-2/Discovery.java
+++ b/review/standins-2/Discovery.java
@@ -14,7 +14,7 @@
 
 /**
  * Discovery: the whole list, and watches that tell each change at once and send an empty line every
- * 2 s.
+ * 2 s. A call may have to wait for its turn.
  */
 final class Discovery {
     private static final int EMPTY_LINE_MILLIS = 2_000;
@@ -28,6 +28,9 @@
     private final TreeMap<Long, String> changes = new TreeMap<>();
     private long version = 1;
 
+    /** How long a call waits for its turn. */
+    private volatile int waitMillis;
+
     Discovery(Rig rig, String name, List<Server> servers) throws IOException {
         this.rig = rig;
         this.name = name;
@@ -61,6 +64,11 @@
         notifyAll();
     }
 
+    /** Has each call wait for its turn from now on. */
+    void setWaitMillis(int millis) {
+        waitMillis = millis;
+    }
+
     /** Accepts no new connection. */
     void stopAccepting() throws IOException {
         listener.close();
@@ -99,7 +107,9 @@
                 return;
             }
             rig.note(name + " is called: " + call);
+            Rig.pause(waitMillis);
             OutputStream out = socket.getOutputStream();
+            rig.note(name + " answers after " + waitMillis + " ms");
             if (call.contains("follow=1")) {
                 follow(out, Long.parseLong(call.replaceAll(".*since=(\\d+).*", "$1")));
             } else {
--- a/review/standins-2/DrainInHandOver.java
+++ b/review/standins-2/DrainInHandOver.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A server begins to drain while one process of a balancer takes over from the other. The list
+ * Servers begin to drain while one process of a balancer takes over from the other. The list
  * comes from a control machine.
  */
 final class DrainInHandOver {
@@ -31,7 +31,7 @@
         Rig.Program first = rig.balancer("first", config, operator, Rig.freeAddress());
         Rig.require(30_000, "the first process is ready", () -> Rig.isReady(first));
         Clients clients = new Clients(rig, site.listen, CLIENTS, 2_800, 4_400);
-        Rig.pause(8_000);
+        Rig.pause(12_000);
         List<Rig.Program> processes = new ArrayList<>(List.of(first));
         long termAt = rig.now();
         if (rig.trouble) {
@@ -43,11 +43,11 @@
         }
         Rig.Program told = processes.get(processes.size() - 1);
         Rig.pause(100);
-        Server drained = site.servers.get(1);
+        Server[] drained = {site.servers.get(1), site.servers.get(2)};
         long revision = rig.change(site.writer, Site.drain(drained));
         Rig.require(2_000, "the drain is in force", () -> Rig.revision(told) >= revision);
         long toldAt = rig.now();
-        rig.note("the drain of " + drained.name + " is in force at process " + told.name);
+        rig.note("the drain of u2 and u3 is in force at process " + told.name);
         if (rig.trouble) {
             long left = Math.max(1, termAt + KILL_MILLIS - rig.now());
             if (first.process.waitFor(left, TimeUnit.MILLISECONDS)) {
@@ -58,17 +58,20 @@
         }
         Rig.pause(8_000);
         clients.stop();
-        List<Server.Ran> late = drained.ranAfter(toldAt + GRACE_MILLIS + MEASURING_MILLIS);
-        for (Server.Ran ran : late) {
-            rig.note(
-                    String.format(
-                            "%s got %s %.3f s after the drain was in force",
-                            drained.name, ran.id(), (ran.atMillis() - toldAt) / 1e3));
+        int late = 0;
+        for (Server server : drained) {
+            for (Server.Ran ran : server.ranAfter(toldAt + GRACE_MILLIS + MEASURING_MILLIS)) {
+                late++;
+                rig.note(
+                        String.format(
+                                "%s got %s %.3f s after the drain was in force",
+                                server.name, ran.id(), (ran.atMillis() - toldAt) / 1e3));
+            }
         }
         rig.note(clients.served + " served, " + clients.others + " answered otherwise");
         if (clients.served.get() < 50) {
             throw new Rig.CannotRun("too few requests were served");
         }
-        return late.isEmpty();
+        return late == 0;
     }
 }
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -90,13 +90,13 @@
         return "{\"id\":\"first\",\"put\":[" + put + "],\"delete\":[]}";
     }
 
-    /** Returns the change that drains a server. */
-    static String drain(Server server) {
-        return "{\"id\":\"drain-"
-                + server.name
-                + "\",\"put\":["
-                + upstream(server, "draining")
-                + "],\"delete\":[]}";
+    /** Returns the change that drains servers. */
+    static String drain(Server... servers) {
+        StringBuilder put = new StringBuilder();
+        for (Server server : servers) {
+            put.append(put.isEmpty() ? "" : ",").append(upstream(server, "draining"));
+        }
+        return "{\"id\":\"drain\",\"put\":[" + put + "],\"delete\":[]}";
     }
 
     private static String upstream(Server server, String state) {
