--- a/review/standins-2/Discovery.java
+++ b/review/standins-2/Discovery.java
@@ -2,7 +2,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -22,7 +21,7 @@
     final String address;
     private final Rig rig;
     private final String name;
-    private final ServerSocket listener;
+    private ServerSocket listener;
     private final List<Socket> open = new ArrayList<>();
     private final Map<String, String> entries = new LinkedHashMap<>();
     private final TreeMap<Long, String> changes = new TreeMap<>();
@@ -38,10 +37,27 @@
             entries.put(server.name, entry(server, "Ready"));
         }
         address = Rig.freeAddress();
-        listener =
-                new ServerSocket(
-                        Rig.address(address).getPort(), 64, InetAddress.getByName("127.0.0.1"));
-        Server.daemon(this::accept);
+        listen();
+    }
+
+    private void listen() throws IOException {
+        ServerSocket opened = new ServerSocket();
+        opened.setReuseAddress(true);
+        opened.bind(Rig.address(address), 64);
+        listener = opened;
+        Server.daemon(() -> accept(opened));
+    }
+
+    /** Is down: new connections are refused, and watches end. */
+    void goDown() throws IOException {
+        stopAccepting();
+        closeOpen();
+    }
+
+    /** Is up again. */
+    void comeBack() throws IOException {
+        rig.note(name + " is up again");
+        listen();
     }
 
     private static String entry(Server server, String state) {
@@ -81,10 +97,10 @@
         }
     }
 
-    private void accept() {
+    private void accept(ServerSocket from) {
         try {
             while (true) {
-                Socket socket = listener.accept();
+                Socket socket = from.accept();
                 socket.setTcpNoDelay(true);
                 synchronized (this) {
                     open.add(socket);
@@ -123,7 +139,8 @@
         }
     }
 
-    private synchronized String whole() {
+    /** Returns the whole list. */
+    synchronized String whole() {
         return list(true, new ArrayList<>(entries.values()));
     }
 
