Review case 7: the outage lasts until 5 s after the yes where that comes late

Need: on a slow machine the new process could say yes near the end of the 8 s, and the case would see nothing.

Change: discovery comes back after 8 s, or 5 s after the yes where that is later.

--- a/review/standins-2/HandOverInOutage.java
+++ b/review/standins-2/HandOverInOutage.java
@@ -10,6 +10,11 @@
  */
 final class HandOverInOutage {
     private static final long DOWN_MILLIS = 8_000;
+
+    /** Where the machine is so slow that the yes comes late, discovery is down for longer. */
+    private static final long DOWN_AFTER_YES_MILLIS = 5_000;
+
+    private static final long READY_MILLIS = 30_000;
     private static final long GRACE_MILLIS = 2_050;
     private static final long MEASURING_MILLIS = 100;
     private static final long KILL_MILLIS = 3_700;
@@ -47,7 +52,7 @@
         }
         long downAt = rig.now();
         Rig.Program second = rig.balancer("second", config, null, Rig.freeAddress());
-        Rig.require(DOWN_MILLIS, "the second process is ready", () -> Rig.isReady(second));
+        Rig.require(READY_MILLIS, "the second process is ready", () -> Rig.isReady(second));
         long yesAt = rig.now();
         rig.terminate(first);
         if (first.process.waitFor(KILL_MILLIS, TimeUnit.MILLISECONDS)) {
@@ -55,7 +60,8 @@
         } else {
             rig.kill(first);
         }
-        Rig.pause(Math.max(0, downAt + DOWN_MILLIS - rig.now()));
+        long upAt = Math.max(downAt + DOWN_MILLIS, yesAt + DOWN_AFTER_YES_MILLIS);
+        Rig.pause(Math.max(0, upAt - rig.now()));
         if (rig.trouble) {
             discovery.comeBack();
         }
