--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -64,7 +64,10 @@
     record Answer(int status, String body, boolean closes) {}
 
     private static final String HOST = "127.0.0.1";
-    private static final int LIMIT_SECONDS = 112;
+    private static final int HELD = 0;
+    private static final int BROKEN = 10;
+    private static final int NOT_RUN = 2;
+    private static final int LIMIT_SECONDS = 110;
     private static final int FIRST_PORT = 12_000;
     private static final int PORTS = 20_000;
     private static final SecureRandom RANDOM = new SecureRandom();
@@ -76,6 +79,8 @@
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
     private final List<Program> programs = new ArrayList<>();
+    private final List<Process> tools = new ArrayList<>();
+    private boolean isEnding;
 
     private Rig(Path caseFolder) throws IOException {
         root = Path.of("").toAbsolutePath();
@@ -85,7 +90,11 @@
                         Files.newBufferedWriter(caseFolder.resolve("record.txt")), true);
     }
 
-    /** Plays a case and ends this JVM with its exit code. */
+    /**
+     * Plays a case and ends this JVM: with 0 if the rule held, with 10 if it was broken, and with
+     * another code if the case could not run. A failure of the JVM itself gives 1, so that it can't
+     * pass for a broken rule; run.sh translates.
+     */
     static void run(String[] args, Case played) throws IOException {
         Rig rig = new Rig(Path.of(args[0]));
         Runtime.getRuntime().addShutdownHook(new Thread(rig::endAll));
@@ -94,19 +103,19 @@
                         () -> {
                             pause(LIMIT_SECONDS * 1_000L);
                             rig.note("the case did not end within " + LIMIT_SECONDS + " s");
-                            System.exit(2);
+                            System.exit(NOT_RUN);
                         });
         watch.setDaemon(true);
         watch.start();
-        int code = 2;
+        int code = NOT_RUN;
         try {
             rig.note(rig.trouble ? "with the disruption" : "TROUBLE=0: without the disruption");
             boolean isKept = played.play(rig);
             rig.note(isKept ? "the rule held" : "the rule was broken");
-            code = isKept ? 0 : 1;
+            code = isKept ? HELD : BROKEN;
         } catch (CannotRun e) {
             rig.note("the case could not run: " + e.getMessage());
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             rig.note("the case could not run: " + e);
         }
         rig.close();
@@ -231,6 +240,7 @@
 
     private synchronized Program start(String name, List<String> command, Map<String, String> more)
             throws IOException {
+        requireNotEnding();
         if (!Files.isRegularFile(root.resolve("target/load-balancer.jar"))) {
             throw new CannotRun("target/load-balancer.jar is not built");
         }
@@ -240,6 +250,7 @@
                         .directory(root.toFile())
                         .redirectErrorStream(true)
                         .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        withoutSettings(builder);
         builder.environment().putAll(more);
         Program program = new Program(name, builder.start(), log);
         programs.add(program);
@@ -247,6 +258,17 @@
         return program;
     }
 
+    private void requireNotEnding() {
+        if (isEnding) {
+            throw new CannotRun("the case is ending");
+        }
+    }
+
+    /** Takes away what the caller's environment may say to a balancer. */
+    private static void withoutSettings(ProcessBuilder builder) {
+        builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
+    }
+
     /** Runs a command of the program's command line and returns what it printed. */
     Output tool(long limitSeconds, String... arguments) throws Exception {
         List<String> command = new ArrayList<>();
@@ -255,12 +277,18 @@
         command.addAll(List.of("-jar", "target/load-balancer.jar"));
         command.addAll(List.of(arguments));
         Path log = Files.createTempFile(folder, "tool", ".log");
-        Process process =
-                new ProcessBuilder(command)
-                        .directory(root.toFile())
-                        .redirectErrorStream(true)
-                        .redirectOutput(log.toFile())
-                        .start();
+        Process process;
+        synchronized (this) {
+            requireNotEnding();
+            ProcessBuilder builder =
+                    new ProcessBuilder(command)
+                            .directory(root.toFile())
+                            .redirectErrorStream(true)
+                            .redirectOutput(log.toFile());
+            withoutSettings(builder);
+            process = builder.start();
+            tools.add(process);
+        }
         if (!process.waitFor(limitSeconds, TimeUnit.SECONDS)) {
             process.destroyForcibly();
             throw new CannotRun(String.join(" ", arguments) + " did not end");
@@ -281,9 +309,21 @@
         program.process.waitFor();
     }
 
+    /** Ends all processes and waits for their end, however this JVM ends. */
     private synchronized void endAll() {
-        for (Program program : programs) {
-            program.process.destroyForcibly();
+        isEnding = true;
+        List<Process> all = new ArrayList<>(tools);
+        programs.forEach(program -> all.add(program.process));
+        all.forEach(Process::destroyForcibly);
+        try {
+            for (Process process : all) {
+                process.waitFor(5, TimeUnit.SECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (Files.exists(folder)) {
+            delete(folder);
         }
     }
 
