A configuration is judged by the keys that it must have, not by the file before it

Cause: JsonKeyPaths took a key that the file in force had, or that all objects of an array had, for one that must be there. What must be there was stated nowhere, so the verdict depended on the file before, and check, a start and SIGHUP decided differently. Evidence: the refusal's log line is written by the comparison alone, check of the same bytes passed, and only those changes failed in which a key common to all objects went.

Change: RequiredFields (settings) and ConfigReader (outermost keys) state the required keys and their types; what docs/configuration.md does not call optional is required. The comparison is gone. A null for "limits" no longer spoils the rest of the file. Fixtures and generated files of the tools got the keys that they lacked, with the values that were their defaults.

The whole suite has not been run on this commit yet.

--- a/src/main/java/loadbalancer/capacity/ConfigurationText.java
+++ b/src/main/java/loadbalancer/capacity/ConfigurationText.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.List;
 
 /** A balancer's configuration file of a size, as docs/configuration.md describes it. */
 final class ConfigurationText {
@@ -12,6 +13,9 @@
     private static final int GROUP = 860;
     private static final int SOCKETS = 1_024;
 
+    private static final List<String> PRICES =
+            List.of("cross-zone", "waste", "probe", "peer", "late-fail", "handshake");
+
     /** Nobody listens there. */
     private static final String DISCOVERY = "127.0.0.1:9";
 
@@ -76,19 +80,59 @@
         out.writeNumberField("group-size", GROUP);
         writeClass(out);
         writeTenants(out);
+        out.writeNumberField("over-share-worth", 1);
+        writeLimits(out);
+        writeRules(out);
+        writePrices(out);
+        writeReport(out);
+        out.writeStringField("weights", "nominal");
+        out.writeStringField("discovery", "pushed");
+        out.writeNumberField("tick-s", 0.005);
+        out.writeEndObject();
+    }
+
+    private static void writeLimits(JsonGenerator out) throws IOException {
         out.writeObjectFieldStart("ceilings");
         out.writeNumberField("try-limit", 3);
+        out.writeBooleanField("may-duplicate", false);
         out.writeBooleanField("cancel", true);
+        out.writeBooleanField("probes", false);
+        out.writeBooleanField("peers", false);
+        out.writeNumberField("max-open", 0);
+        out.writeBooleanField("retry-after", false);
+        out.writeNumberField("max-retry-after-s", 0);
         out.writeNumberField("connect-timeout-s", 0.25);
         out.writeNumberField("conn-idle-s", 30);
+        out.writeNumberField("multiplex", 1);
         out.writeEndObject();
+    }
+
+    private static void writeRules(JsonGenerator out) throws IOException {
+        out.writeObjectFieldStart("rules");
+        out.writeNumberField("answer-slack-s", 0);
+        out.writeNumberField("ask-within-s", 0);
+        out.writeNumberField("drain-grace-s", 0);
+        out.writeNumberField("cold-s", 0);
+        out.writeNumberField("start-capacity", 1);
+        out.writeNumberField("fall-multiple", 1);
+        out.writeNumberField("fall-s", 0);
+        out.writeEndObject();
+    }
+
+    private static void writePrices(JsonGenerator out) throws IOException {
+        out.writeObjectFieldStart("prices");
+        for (String price : PRICES) {
+            out.writeNumberField(price, 0);
+        }
+        out.writeEndObject();
+    }
+
+    private static void writeReport(JsonGenerator out) throws IOException {
         out.writeObjectFieldStart("report");
+        out.writeArrayFieldStart("names");
+        out.writeEndArray();
         out.writeStringField("via", "piggyback");
         out.writeEndObject();
-        out.writeStringField("weights", "nominal");
-        out.writeStringField("discovery", "pushed");
-        out.writeNumberField("tick-s", 0.005);
-        out.writeEndObject();
     }
 
     private static void writeZones(JsonGenerator out) throws IOException {
@@ -109,6 +153,8 @@
         out.writeStringField("repeat", "free");
         out.writeNumberField("aim-s", 1);
         out.writeNumberField("give-up-s", 2);
+        out.writeNumberField("worth", 1);
+        out.writeNumberField("late-worth", 0);
         out.writeEndObject();
         out.writeEndArray();
     }
--- a/src/main/java/loadbalancer/node/Config.java
+++ b/src/main/java/loadbalancer/node/Config.java
@@ -23,7 +23,6 @@
  * @param memoryMegabytes memory that the balancer may use, two processes of a hand-over together; 0
  *     if it is not limited
  * @param known endpoint list to start with
- * @param keyPaths all keys of the file; a reloaded file must contain each of them
  */
 public record Config(
         InetSocketAddress listen,
@@ -33,8 +32,7 @@
         int maxDescriptors,
         int memoryMegabytes,
         EndpointListUpdate known,
-        LoadedSettings facts,
-        JsonKeyPaths keyPaths) {
+        LoadedSettings facts) {
     static final JsonFactory JSON = new JsonFactory();
 
     /**
@@ -55,8 +53,7 @@
                 maxDescriptors,
                 memoryMegabytes,
                 known,
-                newSettings,
-                keyPaths);
+                newSettings);
     }
 
     /** Returns a copy with another initial endpoint list. */
@@ -69,8 +66,7 @@
                 maxDescriptors,
                 memoryMegabytes,
                 newList,
-                facts,
-                keyPaths);
+                facts);
     }
 
     /**
@@ -110,7 +106,7 @@
      */
     public static Config parse(byte[] text) throws InvalidInputException, IOException {
         try (JsonParser json = JSON.createParser(text)) {
-            return new ConfigReader(json).read(text);
+            return new ConfigReader(json).read();
         } catch (JsonProcessingException e) {
             String reason = e.getOriginalMessage().lines().findFirst().orElse("not JSON");
             throw new InvalidInputException(
@@ -125,21 +121,6 @@
         }
     }
 
-    /**
-     * Returns this configuration after a check against the one in force.
-     *
-     * @throws InvalidInputException if this one lacks a key that the one in force has, which is how
-     *     a partly written file shows
-     */
-    Config reloadedOver(Config current) throws InvalidInputException {
-        String missing = keyPaths.firstMissingOf(current.keyPaths);
-        if (missing != null) {
-            throw new InvalidInputException(
-                    "field \"" + missing + "\" of the configuration in force is missing");
-        }
-        return this;
-    }
-
     /**
      * Parses {@code host:port}. The host must be an IP address, as names are not resolved.
      *
--- a/src/main/java/loadbalancer/node/ConfigReader.java
+++ b/src/main/java/loadbalancer/node/ConfigReader.java
@@ -11,7 +11,7 @@
 
 /**
  * Reads one configuration file from JSON. An instance is used once, by one thread. Unknown keys are
- * skipped.
+ * skipped. A file without a required key is not valid, at a start and at a reload alike.
  */
 final class ConfigReader {
     private static final int DEFAULT_MAX_DESCRIPTORS = 1024;
@@ -20,10 +20,13 @@
     private InetSocketAddress listen;
     private InetSocketAddress discovery;
     private InetSocketAddress adminAddress;
-    private long seed;
+
+    /** Null until the field is read, like the required objects below. */
+    private Long seed;
+
     private int maxDescriptors = DEFAULT_MAX_DESCRIPTORS;
     private int memoryMegabytes;
-    private EndpointListUpdate known = EndpointListUpdate.EMPTY;
+    private EndpointListUpdate known;
     private LoadedSettings settings;
 
     /** Creates a reader; the parser must be at the start of its text. */
@@ -34,11 +37,10 @@
     /**
      * Reads and validates the whole file.
      *
-     * @param text the bytes that the parser was created for
      * @throws InvalidInputException if a key is missing or a value is not valid
      * @throws IOException if the text is not JSON
      */
-    Config read(byte[] text) throws InvalidInputException, IOException {
+    Config read() throws InvalidInputException, IOException {
         if (json.nextToken() != JsonToken.START_OBJECT) {
             throw new InvalidInputException("the configuration is not a JSON object");
         }
@@ -48,12 +50,13 @@
         }
         EndpointListReader.require(listen != null, "listen");
         EndpointListReader.require(discovery != null, "discovery");
+        EndpointListReader.require(seed != null, "seed");
+        EndpointListReader.require(known != null, "known");
         EndpointListReader.require(settings != null, "settings");
         if (json.nextToken() != null) {
             throw new InvalidInputException("text follows the end of the JSON object");
         }
         Config.check(settings);
-        JsonKeyPaths keyPaths = JsonKeyPaths.of(text, "known");
         return new Config(
                 listen,
                 discovery,
@@ -62,8 +65,7 @@
                 maxDescriptors,
                 memoryMegabytes,
                 known,
-                settings,
-                keyPaths);
+                settings);
     }
 
     private void readValue(String name, JsonToken value) throws InvalidInputException, IOException {
@@ -74,16 +76,31 @@
                     adminAddress =
                             value == JsonToken.VALUE_NULL ? null : Config.address(json.getText());
             case "seed" -> seed = seed(json.getText());
-            case "limits" -> readLimits();
-            case "known" ->
-                    known = value == JsonToken.START_OBJECT ? EndpointListReader.read(json) : known;
+            case "limits" -> readLimits(value);
+            case "known" -> known = known(value);
             case "settings" ->
-                    settings = value == JsonToken.START_OBJECT ? SettingsReader.read(json) : null;
+                    settings =
+                            value == JsonToken.START_OBJECT
+                                    ? SettingsReader.readComplete(json, name)
+                                    : null;
             default -> json.skipChildren();
         }
     }
 
-    private void readLimits() throws IOException {
+    /** Returns the initial list; null, as if the key were missing, for a value of another type. */
+    private EndpointListUpdate known(JsonToken value) throws InvalidInputException, IOException {
+        return switch (value) {
+            case START_OBJECT -> EndpointListReader.read(json);
+            case VALUE_NULL -> EndpointListUpdate.EMPTY;
+            default -> null;
+        };
+    }
+
+    private void readLimits(JsonToken start) throws InvalidInputException, IOException {
+        if (start == JsonToken.VALUE_NULL) {
+            return;
+        }
+        EndpointListReader.require(start == JsonToken.START_OBJECT, "limits");
         while (json.nextToken() == JsonToken.FIELD_NAME) {
             String name = json.currentName();
             JsonToken value = json.nextToken();
--- a/src/main/java/loadbalancer/node/ConfigReloader.java
+++ b/src/main/java/loadbalancer/node/ConfigReloader.java
@@ -38,7 +38,7 @@
      */
     void reload() {
         try {
-            Config local = dependencies.source().read().reloadedOver(currentConfig.get());
+            Config local = dependencies.source().read();
             apply(dependencies.overlay().overlay(local));
             components.discovery().changeAddress(currentConfig.get().discovery());
             dependencies.metrics().configurationLoaded(true);
--- a/src/main/java/loadbalancer/settings/SettingsObject.java
+++ b/src/main/java/loadbalancer/settings/SettingsObject.java
@@ -70,6 +70,26 @@
         }
     }
 
+    /** Returns whether a field has a number or a boolean. */
+    boolean hasNumber(String name) {
+        return numbers.containsKey(name);
+    }
+
+    /** Returns whether a field has a text. */
+    boolean hasText(String name) {
+        return texts.containsKey(name);
+    }
+
+    /** Returns whether a field has an object. */
+    boolean hasObject(String name) {
+        return objects.containsKey(name);
+    }
+
+    /** Returns whether a field has a list, which may be empty. */
+    boolean hasList(String name) {
+        return lists.containsKey(name);
+    }
+
     double number(String name, double defaultValue) {
         return numbers.getOrDefault(name, defaultValue);
     }
--- a/src/main/java/loadbalancer/settings/SettingsReader.java
+++ b/src/main/java/loadbalancer/settings/SettingsReader.java
@@ -20,14 +20,35 @@
     private SettingsReader() {}
 
     /**
-     * Reads one settings object. The parser must be at its start token.
+     * Reads one settings object, and uses the default for each absent field. The parser must be at
+     * its start token.
      *
      * @throws UnknownSettingValueException if an enumerated setting has an unknown value
      * @throws IOException if the JSON is malformed
      */
     public static LoadedSettings read(JsonParser parser)
             throws UnknownSettingValueException, IOException {
+        return convert(SettingsObject.read(parser));
+    }
+
+    /**
+     * Reads the settings object of a configuration file, in which only optional fields may be
+     * absent; see {@link RequiredFields}. The parser must be at its start token.
+     *
+     * @param path path of the object in its file, for messages
+     * @throws MissingSettingException if a required field is absent or of another type
+     * @throws UnknownSettingValueException if an enumerated setting has an unknown value
+     * @throws IOException if the JSON is malformed
+     */
+    public static LoadedSettings readComplete(JsonParser parser, String path)
+            throws MissingSettingException, UnknownSettingValueException, IOException {
         SettingsObject object = SettingsObject.read(parser);
+        RequiredFields.check(object, path);
+        return convert(object);
+    }
+
+    private static LoadedSettings convert(SettingsObject object)
+            throws UnknownSettingValueException {
         return new LoadedSettings(
                 settings(object),
                 object.object(SettingsFieldNames.LOAD_REPORT)
--- a/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
+++ b/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
@@ -142,16 +142,20 @@
                         + serviceClass("revise", "guarded")
                         + ","
                         + serviceClass("look", "free")
-                        + "],\"parties\":[{\"name\":\"acme\",\"share\":1}],\"group-size\":1,"
-                        + "\"ceilings\":{\"try-limit\":4,\"cancel\":true,\"probes\":true,\"max-open\":100,"
+                        + "],\"parties\":[{\"name\":\"acme\",\"share\":1}],\"over-share-worth\":1,"
+                        + "\"position\":0,\"group-size\":1,"
+                        + "\"ceilings\":{\"try-limit\":4,\"may-duplicate\":false,\"cancel\":true,"
+                        + "\"probes\":true,\"peers\":false,\"max-open\":100,\"retry-after\":false,"
+                        + "\"max-retry-after-s\":0,\"multiplex\":1,"
                         + "\"connect-timeout-s\":0.25,\"conn-idle-s\":"
                         + idle
-                        + "},\"rules\":{\"answer-slack-s\":0.02,\"drain-grace-s\":2,\"cold-s\":9,"
+                        + "},\"rules\":{\"answer-slack-s\":0.02,\"ask-within-s\":0,\"drain-grace-s\":2,\"cold-s\":9,"
                         + "\"start-capacity\":0.2,\"fall-multiple\":3,\"fall-s\":1},"
-                        + "\"report\":{\"names\":[\"cpu\"],"
-                        + "\"via\":\""
+                        + "\"report\":{\"names\":[\"cpu\"],\"via\":\""
                         + loadReports
-                        + "\"},\"prices\":{},\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
+                        + "\"},\"weights\":\"silent\","
+                        + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,\"late-fail\":0,\"handshake\":0},"
+                        + "\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
     }
 
     /**
--- a/src/test/java/loadbalancer/node/ReloadTest.java
+++ b/src/test/java/loadbalancer/node/ReloadTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.Future;
@@ -10,6 +12,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.faults.process.peer.Sockets;
@@ -17,6 +20,7 @@
 import loadbalancer.faults.process.peer.Sockets.Message;
 import loadbalancer.faults.process.peer.Sockets.Script;
 import loadbalancer.faults.process.peer.Sockets.Server;
+import loadbalancer.settings.InvalidInputException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -112,6 +116,10 @@
             invalid = change.endsWith("}}") ? valid + "}" : valid.replace(parts[0], parts[1]);
         }
         Files.writeString(file, invalid);
+        assertThrows(
+                InvalidInputException.class,
+                () -> ConfigCheck.describe(file),
+                "the check of a file decides like a reload");
         group.next().submit(() -> running.reload()).sync();
         assertTrue(figures.render().contains("app.load_errors:1|c"), figures.render());
         assertTrue(figures.render().contains("app.loads:0|c"), figures.render());
@@ -124,6 +132,58 @@
         assertTrue(figures.render().contains("app.loads:1|c"), figures.render());
     }
 
+    /**
+     * Guards against a valid file that is not taken: an optional key that all objects of the
+     * configuration in force have was taken for a required one, so that a balancer stayed with a
+     * discovery service that was gone.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "aim-stretch of each class",
+                "aim-stretch of one class",
+                "allowance of the only tenant",
+                "all tenants",
+                "service properties",
+                "admin address",
+                "memory limit"
+            })
+    void takesAFileWhoseOptionalKeysComeOrGo(String change) throws Exception {
+        Server discovery = discoverySending(list(42, false));
+        Server elsewhere = server(HANG);
+        start(ready(server(SERVE)), discovery);
+        Path file = folder.resolve("config.json");
+        String without = Files.readString(file);
+        String with =
+                switch (change) {
+                    case "aim-stretch of each class" ->
+                            without.replace("\"aim-s\":1", "\"aim-s\":1,\"aim-stretch\":2");
+                    case "aim-stretch of one class" ->
+                            without.replaceFirst("\"aim-s\":1", "\"aim-s\":1,\"aim-stretch\":2");
+                    case "allowance of the only tenant" ->
+                            without.replace("\"share\":1", "\"share\":1,\"allowance-per-s\":9");
+                    case "all tenants" ->
+                            without.replaceAll("\"parties\":\\[[^]]*]", "\"parties\":[]");
+                    case "service properties" ->
+                            without.replace(
+                                    "\"tick-s\"", "\"extra\":{\"warm-keys\":true},\"tick-s\"");
+                    case "admin address" ->
+                            without.replace("\"seed\"", "\"ops\":\"127.0.0.1:1\",\"seed\"");
+                    default -> without.replaceAll("\"memory_mb\":[0-9]+,", "");
+                };
+        assertNotEquals(without, with);
+        int loads = 0;
+        for (String next : List.of(with, without, with)) {
+            Files.writeString(file, next);
+            ConfigCheck.describe(file);
+            group.next().submit(() -> running.reload()).sync();
+            loads++;
+            assertTrue(figures.render().contains("app.loads:" + loads + "|c"), figures.render());
+        }
+        reload(discovery.addr(), elsewhere.addr());
+        Sockets.next(elsewhere.requests);
+    }
+
     @Test
     void addsAndRemovesRequestClasses() throws Exception {
         Server upstream = server(SERVE);
--- a/src/test/java/loadbalancer/node/control/Samples.java
+++ b/src/test/java/loadbalancer/node/control/Samples.java
@@ -52,8 +52,7 @@
     /** Returns the configuration of a balancer with the settings of {@link #file}. */
     static Config config() throws Exception {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
-        return new Config(
-                address, address, null, 0, 512, 0, EndpointListUpdate.EMPTY, file(), null);
+        return new Config(address, address, null, 0, 512, 0, EndpointListUpdate.EMPTY, file());
     }
 
     static Service service() {
