--- a/src/main/java/loadbalancer/settings/RequiredFields.java
+++ b/src/main/java/loadbalancer/settings/RequiredFields.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import loadbalancer.Idempotency;
 
 /**
  * The fields that the settings of a configuration file must have, each with a value of its type. A
@@ -102,10 +103,8 @@
             throws MissingSettingException {
         requireAll(CLASS_TEXTS, requestClass::hasText, path);
         requireAll(CLASS_NUMBERS, requestClass::hasNumber, path);
-        boolean isKeyed =
-                requestClass
-                        .text(SettingsFieldNames.IDEMPOTENCY, "")
-                        .equals(SettingsFieldNames.IDEMPOTENCY_KEYED);
+        String idempotency = requestClass.text(SettingsFieldNames.IDEMPOTENCY, "");
+        boolean isKeyed = SettingsFieldNames.IDEMPOTENCIES.get(idempotency) == Idempotency.KEYED;
         if (isKeyed) {
             requireAll(KEYED_CLASS_TEXTS, requestClass::hasText, path);
             requireAll(KEYED_CLASS_NUMBERS, requestClass::hasNumber, path);
--- a/src/main/java/loadbalancer/settings/SettingsFieldNames.java
+++ b/src/main/java/loadbalancer/settings/SettingsFieldNames.java
@@ -43,7 +43,6 @@
     static final String PRIORITY_WEIGHT = "worth";
     static final String LATE_RESPONSE_RATIO = "late-worth";
     static final String IDEMPOTENCY = "repeat";
-    static final String IDEMPOTENCY_KEYED = "guarded";
     static final String IDEMPOTENCY_SCOPE = "dedup-scope";
     static final String IDEMPOTENCY_WINDOW_SECONDS = "memory-span-s";
     static final String STREAMING = "stream";
@@ -91,7 +90,7 @@
             Map.of(
                     "free",
                     Idempotency.IDEMPOTENT,
-                    IDEMPOTENCY_KEYED,
+                    "guarded",
                     Idempotency.KEYED,
                     "single_shot",
                     Idempotency.NOT_IDEMPOTENT);
