Two processes of a balancer share the endpoint list, so a successor keeps to a drain

Cause: the second process served from the list of its configuration; what the first one had been told reached it only through a state folder, and only at its start. The class: each process of a balancer knew what its own sources had told it, no more. Evidence: the drain is in no input of the second process, and with a state folder the case held, so the policy keeps a drain of a restored list.

Discovery.adopt decides which list is newer. A third process takes a place once one is free. A stored list no longer has the version of one discovery with the address of another.

--- a/src/main/java/loadbalancer/faults/Process.java
+++ b/src/main/java/loadbalancer/faults/Process.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import loadbalancer.LoadBalancer;
 import loadbalancer.LoadBalancerActions;
 import loadbalancer.LoadBalancerSettings;
 import loadbalancer.node.Config;
 import loadbalancer.node.Node;
+import loadbalancer.node.SiblingFiles;
 import loadbalancer.node.SiblingProcess;
 import loadbalancer.node.StateStorage;
 import loadbalancer.proxy.ProcessMetrics;
@@ -23,6 +25,7 @@
     private final VirtualWorld world;
     private final Host host;
     private final ProcessMetrics figures = new ProcessMetrics();
+    private final VirtualSiblingFiles files;
     private Node node;
     private Future<Void> listening;
     private Future<Void> stopped;
@@ -38,6 +41,7 @@
     Process(VirtualWorld world, int number, long seed) {
         this.world = world;
         this.host = new Host("balancer" + number);
+        this.files = new VirtualSiblingFiles(() -> world.siblingFiles(this));
         this.transport = new VirtualTransport(world.timeline, world.network, host, seed);
         if (world.descriptors > 0) {
             transport.descriptors(world.descriptors);
@@ -105,11 +109,20 @@
                 announced = does;
             }
 
+            @Override
+            public Optional<SiblingFiles> files() {
+                return Optional.of(files);
+            }
+
             @Override
             public void close() {}
         };
     }
 
+    VirtualSiblingFiles files() {
+        return files;
+    }
+
     void whenListening(Runnable what) {
         if (listening.isDone()) {
             what.run();
--- a/src/main/java/loadbalancer/faults/VirtualWorld.java
+++ b/src/main/java/loadbalancer/faults/VirtualWorld.java
@@ -263,6 +263,18 @@
         return processes.stream().anyMatch(p -> p != of && p.lives());
     }
 
+    /**
+     * The files of the process that was started last beside this one, whether it lives or has ended
+     * meanwhile; null if there was none.
+     */
+    VirtualSiblingFiles siblingFiles(Process of) {
+        return processes.stream()
+                .filter(p -> p != of)
+                .reduce((first, second) -> second)
+                .map(Process::files)
+                .orElse(null);
+    }
+
     /** Whether another process is there, and there to stay. */
     boolean hasSuccessor(Process of) {
         return processes.stream().anyMatch(p -> p != of && p.lives() && !p.isStopping());
--- a/src/main/java/loadbalancer/node/Discovery.java
+++ b/src/main/java/loadbalancer/node/Discovery.java
@@ -42,8 +42,12 @@
     /** Whether the policy has been notified of a list since the start, changed or not. */
     private boolean isNotified;
 
+    /** Whether the list in force is one that the sibling process shared. */
+    private boolean hasAdopted;
+
     private boolean hasReceived;
     private long receivedAtNanos;
+    private long addressChanges;
 
     /**
      * Creates the source without calling discovery yet.
@@ -94,6 +98,61 @@
                 : -1;
     }
 
+    @Override
+    public long version() {
+        return version.get();
+    }
+
+    /** Returns how often the address has changed, which resets the version. */
+    long addressChanges() {
+        return addressChanges;
+    }
+
+    /** Returns whether discovery or the sibling process has sent a list since the start. */
+    boolean hasLearntSinceStart() {
+        return isNotified || hasAdopted;
+    }
+
+    /**
+     * Puts the list of the sibling process in force if it is newer than this process's. Versions of
+     * one discovery address tell which is newer. The list of a process that represents the balancer
+     * has version 0 after a change of the address; it is newer than the list of a process that has
+     * learnt nothing since its start.
+     *
+     * @param list a complete list
+     * @param listOrigin origin of the list; versions of another one can't be compared, so that its
+     *     list is ignored
+     */
+    void adopt(EndpointListUpdate list, String listOrigin) {
+        if (!listOrigin.equals(origin()) || list.entries().isEmpty()) {
+            return;
+        }
+        if (list.version() > version.get()) {
+            version.advanceTo(list);
+        } else if (list.version() == 0 && !hasLearntSinceStart()) {
+            readFromVersionZero();
+        } else {
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "took the endpoint list of version "
+                        + list.version()
+                        + " from the sibling process");
+        hasAdopted = true;
+        dispatcher.updateEndpoints(
+                isNotified ? EndpointListUpdateType.FULL : EndpointListUpdateType.RESTORED, list);
+    }
+
+    private void readFromVersionZero() {
+        boolean isWatching = !watch.isOff();
+        version.reset();
+        if (isWatching) {
+            watch.end();
+            watch.begin();
+        }
+    }
+
     @Override
     public String origin() {
         return origin(address);
@@ -120,6 +179,7 @@
         fullList.endAndResetBackoff();
         isFullListNeeded = false;
         address = newAddress;
+        addressChanges++;
         version.reset();
         if (isWatching) {
             watch.beginWithin(ADDRESS_CHANGE_SPREAD_MILLIS);
--- a/src/main/java/loadbalancer/node/FileLockSibling.java
+++ b/src/main/java/loadbalancer/node/FileLockSibling.java
@@ -44,6 +44,12 @@
     /** Index of this process among the two, 0 or 1. */
     private int slot;
 
+    /**
+     * Files of the slot; null until this process has locked it. A third process, which may start
+     * before the first one has ended, has none.
+     */
+    private SlotFiles files;
+
     private boolean wantsToListen;
     private FileLock listeningLock;
     private final FailureLogFilter failureLog = new FailureLogFilter();
@@ -67,25 +73,40 @@
     }
 
     private void joinIfNeeded() {
-        if (lockFile != null) {
+        if (files != null) {
             return;
         }
         try {
-            FileChannel opened =
-                    FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            try {
-                slot = lock(opened, 0) != null || lock(opened, 1) == null ? 0 : 1;
-                lockFile = opened;
-            } finally {
-                if (lockFile == null) {
-                    opened.close();
-                }
+            if (lockFile == null) {
+                lockFile =
+                        FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
             }
+            lockFreeSlot();
         } catch (IOException e) {
             logFailure("can't detect a sibling process, as the lock file is unusable: " + e);
         }
     }
 
+    private void lockFreeSlot() throws IOException {
+        for (int candidate = 0; candidate <= 1; candidate++) {
+            if (lock(lockFile, candidate) != null) {
+                slot = candidate;
+                files = new SlotFiles(path.getParent(), path.getFileName().toString(), slot);
+                deleteFilesOfEarlierProcess();
+                return;
+            }
+        }
+    }
+
+    /** Nothing that a process before this one has shared may be taken for this one's. */
+    private void deleteFilesOfEarlierProcess() {
+        try {
+            files.deleteOwn();
+        } catch (IOException e) {
+            logFailure("can't delete what an earlier process has shared: " + e);
+        }
+    }
+
     private void logFailure(String message) {
         if (failureLog.shouldLogFailure()) {
             LOG.log(System.Logger.Level.WARNING, message);
@@ -163,6 +184,11 @@
         }
     }
 
+    @Override
+    public Optional<SiblingFiles> files() {
+        return Optional.ofNullable(files);
+    }
+
     @Override
     public void close() throws IOException {
         if (lockFile != null) {
--- a/src/main/java/loadbalancer/node/Node.java
+++ b/src/main/java/loadbalancer/node/Node.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import loadbalancer.http1.downstream.ClientServer;
 import loadbalancer.proxy.LoadBalancerFactory;
 import loadbalancer.proxy.ProcessMetrics;
@@ -42,7 +44,8 @@
                         isSiblingRunning,
                         components,
                         dependencies.overlay(),
-                        currentConfig);
+                        currentConfig,
+                        exchanges(dependencies));
         listener =
                 new ListenerLifecycle(
                         dependencies, components, sibling, siblingMonitor, currentConfig);
@@ -50,6 +53,27 @@
         components.dispatcher().siblingProcessChanged(isSiblingRunning);
     }
 
+    /** Returns the exchanges of what a sibling process needs to know besides its own sources. */
+    private List<SharedStateExchange<?>> exchanges(NodeDependencies dependencies) {
+        List<SharedStateExchange<?>> exchanges = new ArrayList<>();
+        if (components.listSource() == components.discovery()) {
+            exchanges.add(
+                    exchange(
+                            dependencies,
+                            new SharedEndpointList(
+                                    dependencies.transport(),
+                                    components.discovery(),
+                                    components.dispatcher().endpointTable())));
+        }
+        return exchanges;
+    }
+
+    private <T> SharedStateExchange<T> exchange(
+            NodeDependencies dependencies, SharedState<T> state) {
+        return new SharedStateExchange<>(
+                sibling, dependencies.transport().loop(), dependencies.storage().writer(), state);
+    }
+
     /** Reads the local configuration, at the start and at each reload. */
     public interface ConfigSource {
         /**
--- a/src/main/java/loadbalancer/node/ServeCommand.java
+++ b/src/main/java/loadbalancer/node/ServeCommand.java
@@ -174,18 +174,13 @@
 
     /**
      * Returns the storage of the state: the folder of the operator's file, else that of {@code
-     * NODE_STATE}, else {@link StateStorage#NONE}.
+     * NODE_STATE}, else none. Its thread starts with the first file operation.
      */
     private static StateStorage storage(OperatorFile operatorFile, Environment environment) {
         String configured = operatorFile == null ? "" : operatorFile.stateFolder();
         Path folder = Main.path(configured.isEmpty() ? System.getenv("NODE_STATE") : configured);
-        if (folder == null) {
-            return StateStorage.NONE;
-        }
-        Storage disk =
-                environment == null ? new DirectoryStorage(folder) : environment.storage(folder);
         return new StateStorage(
-                disk,
+                folder == null ? null : disk(folder, environment),
                 Executors.newSingleThreadExecutor(
                         task -> {
                             Thread thread = new Thread(task, "state");
@@ -194,6 +189,10 @@
                         }));
     }
 
+    private static Storage disk(Path folder, Environment environment) {
+        return environment == null ? new DirectoryStorage(folder) : environment.storage(folder);
+    }
+
     /**
      * Reloads the configuration and the operator's file. Runs on the event loop, like their first
      * reading, so that of two readings the later one takes effect. Without a node the configuration
--- /dev/null
+++ b/src/main/java/loadbalancer/node/SharedEndpointList.java
@@ -0,0 +1,81 @@
+package loadbalancer.node;
+
+import java.util.List;
+import java.util.Optional;
+import loadbalancer.LoadBalancerSnapshot;
+import loadbalancer.proxy.EndpointListUpdate;
+import loadbalancer.proxy.EndpointTable;
+import loadbalancer.snapshot.InvalidStoredFileException;
+import loadbalancer.snapshot.Snapshot;
+import loadbalancer.snapshot.SnapshotFormat;
+import loadbalancer.transport.Transport;
+
+/**
+ * The endpoint list from discovery, as the two processes of a balancer share it: a snapshot without
+ * measurements of the policy. Used on the event loop except for {@link #decode}.
+ */
+final class SharedEndpointList implements SharedState<Snapshot> {
+    private static final LoadBalancerSnapshot NO_MEASUREMENTS =
+            new LoadBalancerSnapshot(0, 0, 0, 0, 0, 0, List.of(), List.of());
+
+    private final Transport transport;
+    private final Discovery discovery;
+    private final EndpointTable endpoints;
+
+    SharedEndpointList(Transport transport, Discovery discovery, EndpointTable endpoints) {
+        this.transport = transport;
+        this.discovery = discovery;
+        this.endpoints = endpoints;
+    }
+
+    @Override
+    public String name() {
+        return "list";
+    }
+
+    @Override
+    public int maxBytes() {
+        return SnapshotFormat.MAX_BYTES;
+    }
+
+    /** The version changes without the table when discovery moves to another address. */
+    @Override
+    public long changeCount() {
+        return endpoints.changeCount() + discovery.addressChanges();
+    }
+
+    @Override
+    public boolean hasLearntSinceStart() {
+        return discovery.hasLearntSinceStart();
+    }
+
+    @Override
+    public Optional<Encoder> encoder() {
+        EndpointListUpdate list = endpoints.list();
+        String origin = discovery.origin();
+        long version = discovery.version();
+        long quietMillis = discovery.quietMillis();
+        long savedAtMillis = transport.wallMillis();
+        return Optional.of(
+                () ->
+                        SnapshotFormat.write(
+                                new Snapshot(
+                                        savedAtMillis,
+                                        origin,
+                                        version,
+                                        quietMillis,
+                                        EndpointListSnapshots.listedEndpoints(list),
+                                        NO_MEASUREMENTS)));
+    }
+
+    @Override
+    public Snapshot decode(byte[] content) throws InvalidStoredFileException {
+        return SnapshotFormat.read(content);
+    }
+
+    @Override
+    public void adopt(Snapshot other) {
+        discovery.adopt(
+                EndpointListSnapshots.list(other, other.listVersion()), other.discoveryAddress());
+    }
+}
--- a/src/main/java/loadbalancer/node/SiblingMonitor.java
+++ b/src/main/java/loadbalancer/node/SiblingMonitor.java
@@ -1,5 +1,7 @@
 package loadbalancer.node;
 
+import java.util.List;
+
 /**
  * Follows whether a sibling process runs at the same address, as during a hand-over. Adapts the
  * connection limits, because both processes share one limit of file descriptors, and decides which
@@ -10,6 +12,7 @@
     private final NodeComponents components;
     private final ConfigOverlay overlay;
     private final CurrentConfig currentConfig;
+    private final List<SharedStateExchange<?>> exchanges;
     private boolean isSiblingRunning;
 
     /** Whether the sibling started before this process; false from the sibling's end on. */
@@ -19,25 +22,29 @@
      * Creates a monitor that has notified no component yet.
      *
      * @param isSiblingRunning whether a sibling ran when the components were created
+     * @param exchanges the states that the two processes share
      */
     SiblingMonitor(
             SiblingProcess sibling,
             boolean isSiblingRunning,
             NodeComponents components,
             ConfigOverlay overlay,
-            CurrentConfig currentConfig) {
+            CurrentConfig currentConfig,
+            List<SharedStateExchange<?>> exchanges) {
         this.sibling = sibling;
         this.isSiblingRunning = isSiblingRunning;
         this.startedSecond = isSiblingRunning;
         this.components = components;
         this.overlay = overlay;
         this.currentConfig = currentConfig;
+        this.exchanges = exchanges;
     }
 
     /** Checks the state of the sibling and applies changes. */
     void poll(boolean isStopping) {
         boolean isRunning = sibling.isRunning();
         startedSecond &= isRunning;
+        exchanges.forEach(exchange -> exchange.poll(isRunning, startedSecond));
         notifyLeadership(isStopping);
         if (isStopping) {
             components.server().setSuccessorListening(sibling.isListening());
--- a/src/main/java/loadbalancer/node/SiblingProcess.java
+++ b/src/main/java/loadbalancer/node/SiblingProcess.java
@@ -25,4 +25,9 @@
     default Optional<ByteBuffer> sharedMemory(int sizeBytes) {
         return Optional.empty();
     }
+
+    /** Returns the files by which the processes share state; empty if there are none now. */
+    default Optional<SiblingFiles> files() {
+        return Optional.empty();
+    }
 }
--- a/src/main/java/loadbalancer/node/StatePersistence.java
+++ b/src/main/java/loadbalancer/node/StatePersistence.java
@@ -1,7 +1,6 @@
 package loadbalancer.node;
 
 import io.netty.channel.EventLoop;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,9 +10,6 @@
 import loadbalancer.LoadBalancerSnapshot;
 import loadbalancer.proxy.EndpointListUpdate;
 import loadbalancer.proxy.RequestDispatcher;
-import loadbalancer.settings.InvalidInputException;
-import loadbalancer.snapshot.InvalidStoredFileException;
-import loadbalancer.snapshot.ListedEndpoint;
 import loadbalancer.snapshot.Snapshot;
 import loadbalancer.snapshot.SnapshotFormat;
 import loadbalancer.snapshot.SnapshotStore;
@@ -112,31 +108,10 @@
                 : known;
     }
 
-    private EndpointListUpdate listOf(Snapshot snapshot, String origin) {
-        List<EndpointListUpdate.Entry> entries = new ArrayList<>();
-        for (ListedEndpoint endpoint : snapshot.listedEndpoints()) {
-            try {
-                entries.add(
-                        new EndpointListUpdate.Entry(
-                                endpoint.id(),
-                                Config.address(endpoint.address()),
-                                endpoint.zone(),
-                                endpoint.machineKind(),
-                                endpoint.cellIndex(),
-                                endpoint.state(),
-                                endpoint.capacityWeight(),
-                                endpoint.startedAtMillis()));
-            } catch (InvalidInputException e) {
-                LOG.log(
-                        System.Logger.Level.WARNING,
-                        "skipped stored endpoint " + endpoint.id() + ": " + e.getMessage());
-            }
-        }
+    private static EndpointListUpdate listOf(Snapshot snapshot, String origin) {
         // Versions apply to one list source only: another one is read from version 0.
-        return new EndpointListUpdate(
-                snapshot.discoveryAddress().equals(origin) ? snapshot.listVersion() : 0,
-                true,
-                entries);
+        return EndpointListSnapshots.list(
+                snapshot, snapshot.discoveryAddress().equals(origin) ? snapshot.listVersion() : 0);
     }
 
     /**
@@ -232,46 +207,24 @@
         long savedAtMillis = transport.wallMillis();
         long quietMillis = listSource.quietMillis();
         String origin = listSource.origin();
+        long version = listSource.version();
         BackgroundExecutor.run(
                 writer,
                 loop,
-                () -> write(list, learnt, savedAtMillis, quietMillis, origin),
+                () ->
+                        store.write(
+                                SnapshotFormat.write(
+                                        new Snapshot(
+                                                savedAtMillis,
+                                                origin,
+                                                version,
+                                                quietMillis,
+                                                EndpointListSnapshots.listedEndpoints(list),
+                                                learnt))),
                 this::onWritten,
                 this::onFailure);
     }
 
-    private void write(
-            EndpointListUpdate list,
-            LoadBalancerSnapshot learnt,
-            long savedAtMillis,
-            long quietMillis,
-            String origin)
-            throws IOException, InvalidStoredFileException {
-        List<ListedEndpoint> entries = new ArrayList<>();
-        for (EndpointListUpdate.Entry entry : list.entries()) {
-            String address = entry.address().getHostString() + ":" + entry.address().getPort();
-            entries.add(
-                    new ListedEndpoint(
-                            entry.id(),
-                            address,
-                            entry.zone(),
-                            entry.machineKind(),
-                            entry.cell(),
-                            entry.state(),
-                            entry.capacityWeight(),
-                            entry.startedAtMillis()));
-        }
-        store.write(
-                SnapshotFormat.write(
-                        new Snapshot(
-                                savedAtMillis,
-                                origin,
-                                list.version(),
-                                quietMillis,
-                                entries,
-                                learnt)));
-    }
-
     private void onWritten() {
         isAccessingFiles = false;
         if (hasFailed) {
--- a/src/main/java/loadbalancer/node/control/ControlEndpointListSource.java
+++ b/src/main/java/loadbalancer/node/control/ControlEndpointListSource.java
@@ -93,6 +93,11 @@
                 : NEVER_RECEIVED;
     }
 
+    @Override
+    public long version() {
+        return current.version();
+    }
+
     @Override
     public String origin() {
         return origin;
--- a/src/main/java/loadbalancer/proxy/EndpointTable.java
+++ b/src/main/java/loadbalancer/proxy/EndpointTable.java
@@ -11,6 +11,7 @@
 public final class EndpointTable {
     private final Map<String, EndpointListUpdate.Entry> entries = new LinkedHashMap<>();
     private long version;
+    private long changeCount;
 
     /**
      * Returns the update without endpoints whose address belongs to another one, which it removes:
@@ -51,6 +52,7 @@
     }
 
     void apply(EndpointListUpdate update) {
+        changeCount++;
         version = update.version();
         if (update.isComplete()) {
             entries.clear();
@@ -64,6 +66,16 @@
         }
     }
 
+    /** Returns whether no endpoint is listed. */
+    boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /** Returns the number of updates so far. */
+    public long changeCount() {
+        return changeCount;
+    }
+
     /** Returns a copy of the current list. */
     public EndpointListUpdate list() {
         return new EndpointListUpdate(version, true, List.copyOf(entries.values()));
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -48,6 +48,10 @@
     private RecentRequestIds recentIds;
     private LoadedSettings settings;
     private EndpointDiscovery discovery;
+
+    /** Whether the time has passed in which discovery could have sent a list after the start. */
+    private boolean isRestoredListUsable;
+
     private volatile boolean ready;
 
     /**
@@ -117,14 +121,12 @@
         if (!settings.settings().isEndpointListOnRequest()) {
             discovery.watch(true);
         }
-        if (!restored.entries().isEmpty()) {
-            loop.schedule(
-                    () -> {
-                        ready = true;
-                    },
-                    RESTORED_LIST_DELAY_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
+        loop.schedule(this::useRestoredList, RESTORED_LIST_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void useRestoredList() {
+        isRestoredListUsable = true;
+        ready |= !endpoints.isEmpty();
     }
 
     /** Applies validated settings. Requests in flight keep those in force when they arrived. */
@@ -143,13 +145,19 @@
 
     // Discovery
 
-    /** Applies an endpoint list, or changes to it, from discovery or from stored state. */
+    /**
+     * Applies an endpoint list, or changes to it, from discovery, from stored state or from a
+     * sibling process.
+     */
     public void updateEndpoints(EndpointListUpdateType type, EndpointListUpdate update) {
         EndpointListUpdate list = endpoints.withoutReplaced(update);
         upstreams.updateEndpoints(list);
         audit.updateEndpoints(list, type == EndpointListUpdateType.RESTORED);
         endpoints.apply(list);
-        ready |= type == EndpointListUpdateType.FULL || type == EndpointListUpdateType.DELTA;
+        ready |=
+                type == EndpointListUpdateType.RESTORED
+                        ? isRestoredListUsable && !endpoints.isEmpty()
+                        : type != EndpointListUpdateType.UNAVAILABLE;
         policy.post(
                 (policy, now) ->
                         policy.updateEndpoints(
--- a/src/test/java/loadbalancer/node/FileLockSiblingTest.java
+++ b/src/test/java/loadbalancer/node/FileLockSiblingTest.java
@@ -1,9 +1,16 @@
 package loadbalancer.node;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
@@ -37,4 +44,75 @@
         assertFalse(second.isRunning());
         second.close();
     }
+
+    @Test
+    void processesReadEachOthersFiles() throws Exception {
+        FileLockSibling first = FileLockSibling.join(parent, LISTEN);
+        FileLockSibling second = FileLockSibling.join(parent, LISTEN);
+        SiblingFiles own = first.files().orElseThrow();
+        SiblingFiles others = second.files().orElseThrow();
+        assertNull(others.otherStamp("list"));
+        own.write("list", bytes("one"));
+        Object stamp = others.otherStamp("list");
+        assertArrayEquals(bytes("one"), others.readOther("list", 10));
+        assertEquals(stamp, others.otherStamp("list"));
+        own.write("list", bytes("two"));
+        assertNotEquals(stamp, others.otherStamp("list"));
+        assertArrayEquals(bytes("two"), others.readOther("list", 10));
+        assertArrayEquals(bytes("tw"), others.readOther("list", 1), "one byte beyond the maximum");
+        assertNull(own.otherStamp("list"), "a process does not read its own file");
+        first.close();
+        second.close();
+    }
+
+    /** Guards against a state that a process of another time has left and this one never shared. */
+    @Test
+    void filesOfAnEarlierProcess_areGoneOnceAnotherHasItsPlace() throws Exception {
+        FileLockSibling earlier = FileLockSibling.join(parent, LISTEN);
+        earlier.files().orElseThrow().write("list", bytes("old"));
+        earlier.close();
+        FileLockSibling first = FileLockSibling.join(parent, LISTEN);
+        FileLockSibling second = FileLockSibling.join(parent, LISTEN);
+        assertNull(second.files().orElseThrow().otherStamp("list"));
+        first.close();
+        second.close();
+    }
+
+    /** Three processes run for a moment if a successor is replaced before its predecessor ends. */
+    @Test
+    void thirdProcess_hasNoFilesBeforeOneOfTheOthersHasEnded() throws Exception {
+        FileLockSibling first = FileLockSibling.join(parent, LISTEN);
+        FileLockSibling second = FileLockSibling.join(parent, LISTEN);
+        FileLockSibling third = FileLockSibling.join(parent, LISTEN);
+        assertTrue(third.isRunning());
+        assertTrue(third.files().isEmpty());
+        first.close();
+        assertTrue(third.isRunning());
+        assertTrue(third.files().isPresent());
+        assertTrue(second.isRunning(), "the third process is seen by the second");
+        second.close();
+        assertFalse(third.isRunning());
+        third.close();
+    }
+
+    @Test
+    void removedFolder_makesWritesFailAndNothingElse() throws Exception {
+        Path folder = Files.createDirectory(parent.resolve("removed"));
+        FileLockSibling first = FileLockSibling.join(folder, LISTEN);
+        try (var files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+        SiblingFiles own = first.files().orElseThrow();
+        assertThrows(IOException.class, () -> own.write("list", bytes("one")));
+        assertNull(own.otherStamp("list"));
+        assertFalse(first.isRunning());
+        first.close();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
 }
