--- a/src/main/java/loadbalancer/faults/VirtualWorld.java
+++ b/src/main/java/loadbalancer/faults/VirtualWorld.java
@@ -216,15 +216,16 @@
                 + "\"ceilings\":{\"try-limit\":"
                 + attempts
                 + ",\"cancel\":true,\"may-duplicate\":true,"
-                + "\"probes\":false,\"peers\":false,\"multiplex\":1,\"max-open\":200,\"retry-after\":true,\"max-retry-after-s\":2,"
+                + "\"probes\":false,\"peers\":false,\"multiplex\":1,"
+                + "\"max-open\":200,\"retry-after\":true,\"max-retry-after-s\":2,"
                 + "\"connect-timeout-s\":"
                 + (plan.has(Fault.Kind.LATE_DIAL) ? "2" : "0.25")
                 + ",\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,"
                 + "\"ask-within-s\":10,\"drain-grace-s\":2,\"cold-s\":3,\"start-capacity\":0.3,"
                 + "\"fall-multiple\":3,\"fall-s\":3},\"report\":{\"names\":[\"cpu\"],\"via\":\"piggyback\"},"
                 + "\"weights\":\"silent\","
-                + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,\"late-fail\":0,\"handshake\":0},"
-                + "\"tick-s\":0.001,\"discovery\":\"pushed\"}}";
+                + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,"
+                + "\"late-fail\":0,\"handshake\":0},\"tick-s\":0.001,\"discovery\":\"pushed\"}}";
     }
 
     private static String cls(String name, String repeat, String aim) {
--- a/src/main/java/loadbalancer/faults/process/topology/ConfigText.java
+++ b/src/main/java/loadbalancer/faults/process/topology/ConfigText.java
@@ -42,7 +42,8 @@
                 "conn-idle-s":30,"multiplex":1},
                 "rules":{"answer-slack-s":0.02,"ask-within-s":10,"cold-s":%.1f,"drain-grace-s":%.1f,
                 "fall-multiple":3,"fall-s":3,"start-capacity":%.2f},
-                "prices":{"cross-zone":0.01,"waste":0.035,"probe":0,"peer":0,"late-fail":0.03,"handshake":0.02},
+                "prices":{"cross-zone":0.01,"waste":0.035,"probe":0,"peer":0,"late-fail":0.03,
+                "handshake":0.02},
                 "report":{"names":["cpu","active","waiting"],"via":"piggyback"},"weights":"rough",
                 "discovery":"%s","extra":{"warm-keys":true},"tick-s":0.005}}
                 """,
--- a/src/test/java/loadbalancer/faults/FollowingNodes.java
+++ b/src/test/java/loadbalancer/faults/FollowingNodes.java
@@ -124,7 +124,8 @@
                 + Long.toHexString(streams.seedOf("module/" + number) & 0xFFFF)
                 + "\",\"limits\":{\"sockets\":512},\"known\":"
                 + list(41, true, entry("a", "Ready"), entry("b", "Ready"))
-                + ",\"settings\":{\"az\":0,\"localities\":[\"z\"],\"kinds\":[\"k\"],\"position\":0,\"group-size\":1,"
+                + ",\"settings\":{\"az\":0,\"localities\":[\"z\"],\"kinds\":[\"k\"],"
+                + "\"position\":0,\"group-size\":1,"
                 + "\"classes\":[{\"name\":\"lookup\",\"repeat\":\"free\",\"dedup-scope\":\"all\","
                 + "\"memory-span-s\":1,\"aim-s\":0.5,\"give-up-s\":2,\"worth\":1,\"late-worth\":0.5}],"
                 + "\"parties\":[{\"name\":\"acme\",\"share\":1}],\"over-share-worth\":1,"
@@ -133,9 +134,10 @@
                 + "\"max-retry-after-s\":0,\"multiplex\":1,\"connect-timeout-s\":0.25,"
                 + "\"conn-idle-s\":5},\"rules\":{\"answer-slack-s\":0.02,\"ask-within-s\":10,"
                 + "\"drain-grace-s\":2,\"cold-s\":3,\"start-capacity\":0.3,\"fall-multiple\":3,\"fall-s\":3},"
-                + "\"report\":{\"names\":[\"cpu\"],\"via\":\"silent\"},\"weights\":\"silent\",\"tick-s\":0.005,"
-                + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,\"late-fail\":0,\"handshake\":0},"
-                + "\"discovery\":\""
+                + "\"report\":{\"names\":[\"cpu\"],\"via\":\"silent\"},"
+                + "\"weights\":\"silent\",\"tick-s\":0.005,"
+                + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,"
+                + "\"late-fail\":0,\"handshake\":0},\"discovery\":\""
                 + mode
                 + "\"}}";
     }
--- a/src/test/java/loadbalancer/node/ConfigCompletenessTest.java
+++ b/src/test/java/loadbalancer/node/ConfigCompletenessTest.java
@@ -80,7 +80,7 @@
 
     @ParameterizedTest
     @MethodSource("pathsOfTheExample")
-    void missingKey_isRejectedWithItsPath_unlessItIsOptional(String path) throws Exception {
+    void missingKeyIsRejectedWithItsPathUnlessItIsOptional(String path) throws Exception {
         ObjectNode config = example();
         Key key = find(config, path);
         key.owner().remove(key.name());
@@ -89,7 +89,7 @@
 
     @ParameterizedTest
     @MethodSource("pathsOfTheExample")
-    void nullInPlaceOfAValue_countsAsAMissingKey(String path) throws Exception {
+    void nullInPlaceOfAValueCountsAsAMissingKey(String path) throws Exception {
         ObjectNode config = example();
         Key key = find(config, path);
         key.owner().putNull(key.name());
@@ -118,7 +118,7 @@
                 "settings.classes[1].give-up-s",
                 "settings.parties[0].share"
             })
-    void textInPlaceOfANumber_isRejectedWithItsPath(String path) throws Exception {
+    void textInPlaceOfANumberIsRejectedWithItsPath(String path) throws Exception {
         ObjectNode config = example();
         Key key = find(config, path);
         key.owner().put(key.name(), "2");
@@ -127,7 +127,7 @@
 
     /** Guards against a scope or window that a reload silently replaces by a default. */
     @Test
-    void keyedClass_mustSayWhichEndpointsDropRepeatsAndForHowLong() throws Exception {
+    void keyedClassMustSayWhichEndpointsDropRepeatsAndForHowLong() throws Exception {
         for (String name : List.of("dedup-scope", "memory-span-s")) {
             ObjectNode config = example();
             Key key = find(config, "settings.classes[1]." + name);
@@ -137,7 +137,7 @@
     }
 
     @Test
-    void absentOptionalKeys_haveTheDocumentedDefaults() throws Exception {
+    void absentOptionalKeysHaveTheDocumentedDefaults() throws Exception {
         ObjectNode config = example();
         for (String path : OPTIONAL) {
             Key key = find(example(), path);
--- a/src/test/java/loadbalancer/node/FileLockSiblingTest.java
+++ b/src/test/java/loadbalancer/node/FileLockSiblingTest.java
@@ -67,7 +67,7 @@
 
     /** Guards against a state that a process of another time has left and this one never shared. */
     @Test
-    void filesOfAnEarlierProcess_areGoneOnceAnotherHasItsPlace() throws Exception {
+    void filesOfAnEarlierProcessAreGoneOnceAnotherHasItsPlace() throws Exception {
         FileLockSibling earlier = FileLockSibling.join(parent, LISTEN);
         earlier.files().orElseThrow().write("list", bytes("old"));
         earlier.close();
@@ -80,7 +80,7 @@
 
     /** Three processes run for a moment if a successor is replaced before its predecessor ends. */
     @Test
-    void thirdProcess_hasNoFilesBeforeOneOfTheOthersHasEnded() throws Exception {
+    void thirdProcessHasNoFilesBeforeOneOfTheOthersHasEnded() throws Exception {
         FileLockSibling first = FileLockSibling.join(parent, LISTEN);
         FileLockSibling second = FileLockSibling.join(parent, LISTEN);
         FileLockSibling third = FileLockSibling.join(parent, LISTEN);
@@ -96,7 +96,7 @@
     }
 
     @Test
-    void removedFolder_makesWritesFailAndNothingElse() throws Exception {
+    void removedFolderMakesWritesFailAndNothingElse() throws Exception {
         Path folder = Files.createDirectory(parent.resolve("removed"));
         FileLockSibling first = FileLockSibling.join(folder, LISTEN);
         try (var files = Files.list(folder)) {
--- a/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
+++ b/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
@@ -149,12 +149,14 @@
                         + "\"max-retry-after-s\":0,\"multiplex\":1,"
                         + "\"connect-timeout-s\":0.25,\"conn-idle-s\":"
                         + idle
-                        + "},\"rules\":{\"answer-slack-s\":0.02,\"ask-within-s\":0,\"drain-grace-s\":2,\"cold-s\":9,"
+                        + "},\"rules\":{\"answer-slack-s\":0.02,\"ask-within-s\":0,"
+                        + "\"drain-grace-s\":2,\"cold-s\":9,"
                         + "\"start-capacity\":0.2,\"fall-multiple\":3,\"fall-s\":1},"
                         + "\"report\":{\"names\":[\"cpu\"],\"via\":\""
                         + loadReports
                         + "\"},\"weights\":\"silent\","
-                        + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,\"late-fail\":0,\"handshake\":0},"
+                        + "\"prices\":{\"cross-zone\":0,\"waste\":0,\"probe\":0,\"peer\":0,"
+                        + "\"late-fail\":0,\"handshake\":0},"
                         + "\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
     }
 
--- a/src/test/java/loadbalancer/node/MovedDiscoveryStateTest.java
+++ b/src/test/java/loadbalancer/node/MovedDiscoveryStateTest.java
@@ -20,7 +20,7 @@
  */
 class MovedDiscoveryStateTest extends LoopbackNodeFixture {
     @Test
-    void listFromBeforeDiscoveryMoved_isStoredWithoutAVersion() throws Exception {
+    void listFromBeforeDiscoveryMovedIsStoredWithoutAVersion() throws Exception {
         Server upstream = server(SERVE);
         Server discovery =
                 server(
--- a/src/test/java/loadbalancer/node/SharedStateExchangeTest.java
+++ b/src/test/java/loadbalancer/node/SharedStateExchangeTest.java
@@ -145,7 +145,7 @@
     }
 
     @Test
-    void withoutSibling_accessesNoFile() throws Exception {
+    void withoutSiblingAccessesNoFile() throws Exception {
         files.shareOther("left by an earlier process");
         poll(false, false);
         assertTrue(files.written.isEmpty());
@@ -153,7 +153,7 @@
     }
 
     @Test
-    void firstProcess_sharesItsStateAtOnceAndAfterEachChange() throws Exception {
+    void firstProcessSharesItsStateAtOnceAndAfterEachChange() throws Exception {
         poll(true, false);
         poll(true, false);
         assertEquals(List.of("own"), files.written);
@@ -165,7 +165,7 @@
 
     /** Otherwise an old list of a configuration could take the place of a newer one. */
     @Test
-    void secondProcess_sharesNothingBeforeItHasLearntSomething() throws Exception {
+    void secondProcessSharesNothingBeforeItHasLearntSomething() throws Exception {
         poll(true, true);
         assertTrue(files.written.isEmpty());
         state.hasLearnt = true;
@@ -174,7 +174,7 @@
     }
 
     @Test
-    void eachContentOfTheOtherProcess_isAdoptedOnce() throws Exception {
+    void eachContentOfTheOtherProcessIsAdoptedOnce() throws Exception {
         files.shareOther("first");
         poll(true, true);
         poll(true, true);
@@ -185,7 +185,7 @@
     }
 
     @Test
-    void afterTheEndOfTheSibling_itsLastContentIsAdopted() throws Exception {
+    void afterTheEndOfTheSiblingItsLastContentIsAdopted() throws Exception {
         poll(true, true);
         files.shareOther("last");
         poll(false, false);
@@ -196,7 +196,7 @@
     }
 
     @Test
-    void nextSibling_getsTheStateToo() throws Exception {
+    void nextSiblingGetsTheStateToo() throws Exception {
         poll(true, false);
         poll(false, false);
         poll(true, false);
@@ -204,7 +204,7 @@
     }
 
     @Test
-    void fullFolder_costsOnlyTheSharing_andIsTriedAgain() throws Exception {
+    void fullFolderCostsOnlyTheSharingAndIsTriedAgain() throws Exception {
         files.isFull = true;
         files.shareOther("of the other");
         poll(true, false);
@@ -215,7 +215,7 @@
     }
 
     @Test
-    void contentThatCannotBeDecoded_isReadOnceAndTheNextOneIsAdopted() throws Exception {
+    void contentThatCannotBeDecodedIsReadOnceAndTheNextOneIsAdopted() throws Exception {
         for (String broken : List.of("torn", "unexpected")) {
             files.shareOther(broken);
             files.reads = 0;
--- a/src/test/java/loadbalancer/node/SiblingListTest.java
+++ b/src/test/java/loadbalancer/node/SiblingListTest.java
@@ -153,7 +153,7 @@
 
     /** Guards against a successor that takes the list of its configuration for the newest one. */
     @Test
-    void successorThatDiscoveryDoesNotAnswer_keepsToADrainThatItsPredecessorWasTold()
+    void successorThatDiscoveryDoesNotAnswerKeepsToADrainThatItsPredecessorWasTold()
             throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
@@ -166,7 +166,7 @@
 
     /** A process that is already listening learns what its predecessor is told later. */
     @Test
-    void successorThatIsReady_keepsToADrainThatItsPredecessorIsTold() throws Exception {
+    void successorThatIsReadyKeepsToADrainThatItsPredecessorIsTold() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         Node successor = startSuccessor();
         assertTrue(requestsAtDrainingEndpoint(successor) > 0);
@@ -179,7 +179,7 @@
 
     /** Guards against a process that goes by an old list as long as clients stay connected. */
     @Test
-    void predecessor_keepsToADrainThatOnlyItsSuccessorWasTold() throws Exception {
+    void predecessorKeepsToADrainThatOnlyItsSuccessorWasTold() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         discovery.answers.add(oneDrains(42));
         Node successor = startSuccessor();
@@ -190,7 +190,7 @@
     }
 
     @Test
-    void secondHandOverInOneOutage_passesTheListOn() throws Exception {
+    void secondHandOverInOneOutagePassesTheListOn() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         discovery.goDown();
@@ -203,7 +203,7 @@
     }
 
     @Test
-    void olderListFromDiscovery_doesNotReplaceTheAdoptedOne() throws Exception {
+    void olderListFromDiscoveryDoesNotReplaceTheAdoptedOne() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         discovery.goDown();
@@ -220,7 +220,7 @@
     }
 
     @Test
-    void newerListOfTheConfiguration_isNotReplacedByTheSiblingsList() throws Exception {
+    void newerListOfTheConfigurationIsNotReplacedByTheSiblingsList() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         discovery.goDown();
@@ -234,7 +234,7 @@
     }
 
     @Test
-    void emptyListOfTheConfiguration_isReplacedByTheSiblingsList() throws Exception {
+    void emptyListOfTheConfigurationIsReplacedByTheSiblingsList() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         discovery.goDown();
@@ -248,7 +248,7 @@
 
     /** Versions of two discovery services can't be compared. */
     @Test
-    void listFromAnotherDiscoveryAddress_isNotTaken() throws Exception {
+    void listFromAnotherDiscoveryAddressIsNotTaken() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         String text = Files.readString(config());
@@ -262,7 +262,7 @@
 
     /** After a reload moved discovery, the list in force has no version at the new address. */
     @Test
-    void listFromBeforeDiscoveryMoved_isPassedOn() throws Exception {
+    void listFromBeforeDiscoveryMovedIsPassedOn() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         String text = Files.readString(config());
@@ -277,7 +277,7 @@
 
     /** Only a process that runs beside this one is believed, not files that one has left. */
     @Test
-    void listOfAProcessThatHasEnded_isNotTakenByTheNextStart() throws Exception {
+    void listOfAProcessThatHasEndedIsNotTakenByTheNextStart() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
         discovery.goDown();
--- a/src/test/java/loadbalancer/node/control/SharedControlStateTest.java
+++ b/src/test/java/loadbalancer/node/control/SharedControlStateTest.java
@@ -58,7 +58,7 @@
     }
 
     @Test
-    void processThatNoLongerSubscribes_appliesListAndSettingsOfTheOther() throws Exception {
+    void processThatNoLongerSubscribesAppliesListAndSettingsOfTheOther() throws Exception {
         startAndPublishFirst();
         setLeading(false);
         settings.clear();
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void olderRevision_isNotAdopted() throws Exception {
+    void olderRevisionIsNotAdopted() throws Exception {
         startAndPublishFirst();
         setLeading(false);
         adopt(THIRD, Upstream.State.DRAINING);
@@ -84,7 +84,7 @@
 
     /** Guards against a successor that goes back to the revision that it was started with. */
     @Test
-    void processThatDoesNotSubscribeYet_takesTheStateAndSubscribesFromThere() throws Exception {
+    void processThatDoesNotSubscribeYetTakesTheStateAndSubscribesFromThere() throws Exception {
         start(ListSource.CONTROL, StateStorage.NONE);
         setLeading(false);
         opened.clear();
@@ -97,7 +97,7 @@
 
     /** Guards against a stopping process that hears of nothing once its successor has died. */
     @Test
-    void processWhoseSuccessorHasEnded_subscribesAgainFromTheNewestState() throws Exception {
+    void processWhoseSuccessorHasEndedSubscribesAgainFromTheNewestState() throws Exception {
         startAndPublishFirst();
         setLeading(false);
         adopt(SECOND, Upstream.State.DRAINING);
@@ -106,14 +106,14 @@
     }
 
     @Test
-    void subscription_startsAnewFromANewerStateOfTheOther() throws Exception {
+    void subscriptionStartsAnewFromANewerStateOfTheOther() throws Exception {
         startAndPublishFirst();
         adopt(SECOND, Upstream.State.DRAINING);
         assertEquals(SECOND, next(opened).revision());
     }
 
     @Test
-    void stateOfAnotherService_isIgnored() throws Exception {
+    void stateOfAnotherServiceIsIgnored() throws Exception {
         startAndPublishFirst();
         setLeading(false);
         lists.clear();
