Shared lists are decoded off the loop, and no file of an ended process stays

Change: SharedEndpointList decodes in the background, CurrentListVersion decides which list is newer, and a process that starts alone deletes what both places have left. Result: 98 tests of lists, siblings, reload and discovery pass, filesOfBothEarlier... is new; no figure was measured for the cost on the loop.

--- a/src/main/java/loadbalancer/node/Discovery.java
+++ b/src/main/java/loadbalancer/node/Discovery.java
@@ -114,24 +114,17 @@
     }
 
     /**
-     * Puts the list of the sibling process in force if it is newer than this process's. Versions of
-     * one discovery address tell which is newer. The list of a process that represents the balancer
-     * has version 0 after a change of the address; it is newer than the list of a process that has
-     * learnt nothing since its start.
+     * Puts the list of the sibling process in force if it is newer than this process's, see {@link
+     * CurrentListVersion#isBefore}.
      *
      * @param list a complete list
      * @param listOrigin origin of the list; versions of another one can't be compared, so that its
      *     list is ignored
      */
     void adopt(EndpointListUpdate list, String listOrigin) {
-        if (!listOrigin.equals(origin()) || list.entries().isEmpty()) {
-            return;
-        }
-        if (list.version() > version.get()) {
-            version.advanceTo(list);
-        } else if (list.version() == 0 && !hasLearntSinceStart()) {
-            readFromVersionZero();
-        } else {
+        if (!listOrigin.equals(origin())
+                || list.entries().isEmpty()
+                || !version.isBefore(list, hasLearntSinceStart())) {
             return;
         }
         LOG.log(
@@ -139,18 +132,15 @@
                 "took the endpoint list of version "
                         + list.version()
                         + " from the sibling process");
-        hasAdopted = true;
-        dispatcher.updateEndpoints(
-                isNotified ? EndpointListUpdateType.FULL : EndpointListUpdateType.RESTORED, list);
-    }
-
-    private void readFromVersionZero() {
-        boolean isWatching = !watch.isOff();
-        version.reset();
-        if (isWatching) {
+        boolean isWatchOutdated = list.version() < version.get() && !watch.isOff();
+        version.set(list);
+        if (isWatchOutdated) {
             watch.end();
             watch.begin();
         }
+        hasAdopted = true;
+        dispatcher.updateEndpoints(
+                isNotified ? EndpointListUpdateType.FULL : EndpointListUpdateType.RESTORED, list);
     }
 
     @Override
--- a/src/main/java/loadbalancer/node/FileLockSibling.java
+++ b/src/main/java/loadbalancer/node/FileLockSibling.java
@@ -92,18 +92,24 @@
             if (lock(lockFile, candidate) != null) {
                 slot = candidate;
                 files = new SlotFiles(path.getParent(), path.getFileName().toString(), slot);
-                deleteFilesOfEarlierProcess();
+                deleteFilesOfEarlierProcesses();
                 return;
             }
         }
     }
 
-    /** Nothing that a process before this one has shared may be taken for this one's. */
-    private void deleteFilesOfEarlierProcess() {
+    /**
+     * Nothing that an earlier process has shared may be taken for this one's, or for that of a
+     * later process, which may be of a version that shares nothing.
+     */
+    private void deleteFilesOfEarlierProcesses() {
         try {
             files.deleteOwn();
+            if (!isLocked(1 - slot)) {
+                files.deleteOther();
+            }
         } catch (IOException e) {
-            logFailure("can't delete what an earlier process has shared: " + e);
+            logFailure("can't delete what earlier processes have shared: " + e);
         }
     }
 
--- a/src/main/java/loadbalancer/node/SharedEndpointList.java
+++ b/src/main/java/loadbalancer/node/SharedEndpointList.java
@@ -14,10 +14,17 @@
  * The endpoint list from discovery, as the two processes of a balancer share it: a snapshot without
  * measurements of the policy. Used on the event loop except for {@link #decode}.
  */
-final class SharedEndpointList implements SharedState<Snapshot> {
+final class SharedEndpointList implements SharedState<SharedEndpointList.Received> {
     private static final LoadBalancerSnapshot NO_MEASUREMENTS =
             new LoadBalancerSnapshot(0, 0, 0, 0, 0, 0, List.of(), List.of());
 
+    /**
+     * A complete list as the other process has shared it.
+     *
+     * @param origin address of the discovery service whose version the list has
+     */
+    record Received(EndpointListUpdate list, String origin) {}
+
     private final Transport transport;
     private final Discovery discovery;
     private final EndpointTable endpoints;
@@ -69,13 +76,15 @@
     }
 
     @Override
-    public Snapshot decode(byte[] content) throws InvalidStoredFileException {
-        return SnapshotFormat.read(content);
+    public Received decode(byte[] content) throws InvalidStoredFileException {
+        Snapshot snapshot = SnapshotFormat.read(content);
+        return new Received(
+                EndpointListSnapshots.list(snapshot, snapshot.listVersion()),
+                snapshot.discoveryAddress());
     }
 
     @Override
-    public void adopt(Snapshot other) {
-        discovery.adopt(
-                EndpointListSnapshots.list(other, other.listVersion()), other.discoveryAddress());
+    public void adopt(Received other) {
+        discovery.adopt(other.list(), other.origin());
     }
 }
--- a/src/main/java/loadbalancer/node/SlotFiles.java
+++ b/src/main/java/loadbalancer/node/SlotFiles.java
@@ -36,9 +36,22 @@
      * @throws IOException if the folder can't be read or a file can't be deleted
      */
     void deleteOwn() throws IOException {
-        String pattern = prefix + ".*." + slot + "{," + TEMPORARY_SUFFIX + "}";
-        try (DirectoryStream<Path> own = Files.newDirectoryStream(folder, pattern)) {
-            for (Path file : own) {
+        delete(slot);
+    }
+
+    /**
+     * Deletes the files that a process of the other slot has left, which must have ended.
+     *
+     * @throws IOException if the folder can't be read or a file can't be deleted
+     */
+    void deleteOther() throws IOException {
+        delete(SLOTS - 1 - slot);
+    }
+
+    private void delete(int ofSlot) throws IOException {
+        String pattern = prefix + ".*." + ofSlot + "{," + TEMPORARY_SUFFIX + "}";
+        try (DirectoryStream<Path> left = Files.newDirectoryStream(folder, pattern)) {
+            for (Path file : left) {
                 Files.deleteIfExists(file);
             }
         }
--- a/src/test/java/loadbalancer/node/FileLockSiblingTest.java
+++ b/src/test/java/loadbalancer/node/FileLockSiblingTest.java
@@ -78,6 +78,19 @@
         second.close();
     }
 
+    /** Guards against files that stay beside a process of a version that shares nothing. */
+    @Test
+    void filesOfBothEarlierProcessesAreGoneOnceAnotherStartsAlone() throws Exception {
+        FileLockSibling earlier = FileLockSibling.join(parent, LISTEN);
+        FileLockSibling second = FileLockSibling.join(parent, LISTEN);
+        second.files().orElseThrow().write("list", bytes("old"));
+        earlier.close();
+        second.close();
+        FileLockSibling alone = FileLockSibling.join(parent, LISTEN);
+        assertNull(alone.files().orElseThrow().otherStamp("list"));
+        alone.close();
+    }
+
     /** Three processes run for a moment if a successor is replaced before its predecessor ends. */
     @Test
     void thirdProcessHasNoFilesBeforeOneOfTheOthersHasEnded() throws Exception {
