Departed clients: the client stays busy while the successor starts

It fails on as well on this machine at this hour: its client rests while the second process starts, and a start took over 2.5 s, after which a connection that has said nothing is closed with 408 (log of a play of the same order by hand). The program keeps its rule; the test assumed a start within 2.5 s. Change: the client sends requests while the successor starts, then the same request as before; what is checked after it is the same, with the endpoint's count begun anew.

--- a/src/test/java/loadbalancer/node/DepartedClientTest.java
+++ b/src/test/java/loadbalancer/node/DepartedClientTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.faults.process.peer.Sockets.Client;
 import org.junit.jupiter.api.AfterEach;
@@ -122,9 +123,10 @@
         startProgram();
         Process former = process;
         try (Client client = new Client(address)) {
-            startProgram(folder.resolve("config.json"), List.of());
+            startSuccessor(client);
             successor = process;
             process = former;
+            endpoint.heads.clear();
             String request = submit();
             client.write(request);
             awaitRequestAtEndpoint();
@@ -140,6 +142,24 @@
         assertEquals(1, endpoint.heads.size());
     }
 
+    /**
+     * Starts a successor. The client goes on sending to the former process meanwhile, which would
+     * end its connection if it rested for longer than a start may take.
+     */
+    private void startSuccessor(Client client) throws Exception {
+        FutureTask<Void> start =
+                new FutureTask<>(
+                        () -> {
+                            startProgram(folder.resolve("config.json"), List.of());
+                            return null;
+                        });
+        new Thread(start).start();
+        while (!start.isDone()) {
+            assertEquals(200, client.write(submit()).read().status());
+        }
+        start.get();
+    }
+
     /** A request that was never sent may come again under its id. */
     @Test
     void idOfARequestThatWasNeverSentMayComeAgain() throws Exception {
