Test servers have stopped accepting once they are closed

Change: Sockets.Server.close waits for its accepting thread and closes what that has accepted. The test is as it was.

--- a/src/main/java/loadbalancer/faults/process/peer/Sockets.java
+++ b/src/main/java/loadbalancer/faults/process/peer/Sockets.java
@@ -161,6 +161,7 @@
         public final AtomicLong receivedBytes = new AtomicLong();
 
         private final ServerSocket listening;
+        private final Thread acceptor;
         private volatile Script script;
 
         /** On a port of its own. */
@@ -174,7 +175,7 @@
             listening = new ServerSocket();
             listening.setReuseAddress(true);
             listening.bind(at, BACKLOG);
-            thread(this::accept);
+            acceptor = thread(this::accept);
         }
 
         /** Where it listens, as {@code host:port}. */
@@ -182,10 +183,11 @@
             return listening.getInetAddress().getHostAddress() + ":" + listening.getLocalPort();
         }
 
-        private static void thread(Runnable body) {
+        private static Thread thread(Runnable body) {
             Thread thread = new Thread(body);
             thread.setDaemon(true);
             thread.start();
+            return thread;
         }
 
         private void accept() {
@@ -225,15 +227,22 @@
             ended.add(number);
         }
 
+        /**
+         * Accepts nothing from now on, and closes all connections. An accept that is under way when
+         * the listener is closed may still return a connection; it is waited for.
+         */
         @Override
         public void close() {
             try {
                 listening.close();
+                acceptor.join(TimeUnit.SECONDS.toMillis(PATIENCE_S));
                 for (Socket s : accepted) {
                     s.close();
                 }
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
         }
     }
