--- a/src/main/java/loadbalancer/faults/VirtualWorld.java
+++ b/src/main/java/loadbalancer/faults/VirtualWorld.java
@@ -265,8 +265,8 @@
     }
 
     /**
-     * The files of the process that was started last beside this one, whether it lives or has ended
-     * meanwhile; null if there was none.
+     * The files of the sibling that was started last, which may have ended since; null if there was
+     * no sibling.
      */
     VirtualSiblingFiles siblingFiles(Process of) {
         return processes.stream()
--- a/src/main/java/loadbalancer/node/SharedEndpointList.java
+++ b/src/main/java/loadbalancer/node/SharedEndpointList.java
@@ -58,21 +58,8 @@
 
     @Override
     public Optional<Encoder> encoder() {
-        EndpointListUpdate list = endpoints.list();
-        String origin = discovery.origin();
-        long version = discovery.version();
-        long quietMillis = discovery.quietMillis();
-        long savedAtMillis = transport.wallMillis();
-        return Optional.of(
-                () ->
-                        SnapshotFormat.write(
-                                new Snapshot(
-                                        savedAtMillis,
-                                        origin,
-                                        version,
-                                        quietMillis,
-                                        EndpointListSnapshots.listedEndpoints(list),
-                                        NO_MEASUREMENTS)));
+        CapturedEndpointList captured = CapturedEndpointList.of(endpoints, discovery, transport);
+        return Optional.of(() -> captured.encodeWith(NO_MEASUREMENTS));
     }
 
     @Override
--- a/src/main/java/loadbalancer/node/StatePersistence.java
+++ b/src/main/java/loadbalancer/node/StatePersistence.java
@@ -11,7 +11,6 @@
 import loadbalancer.proxy.EndpointListUpdate;
 import loadbalancer.proxy.RequestDispatcher;
 import loadbalancer.snapshot.Snapshot;
-import loadbalancer.snapshot.SnapshotFormat;
 import loadbalancer.snapshot.SnapshotStore;
 import loadbalancer.snapshot.TwoGenerationFiles;
 import loadbalancer.transport.BackgroundExecutor;
@@ -203,24 +202,12 @@
     }
 
     private void writeInBackground(LoadBalancerSnapshot learnt) {
-        EndpointListUpdate list = dispatcher.endpointTable().list();
-        long savedAtMillis = transport.wallMillis();
-        long quietMillis = listSource.quietMillis();
-        String origin = listSource.origin();
-        long version = listSource.version();
+        CapturedEndpointList captured =
+                CapturedEndpointList.of(dispatcher.endpointTable(), listSource, transport);
         BackgroundExecutor.run(
                 writer,
                 loop,
-                () ->
-                        store.write(
-                                SnapshotFormat.write(
-                                        new Snapshot(
-                                                savedAtMillis,
-                                                origin,
-                                                version,
-                                                quietMillis,
-                                                EndpointListSnapshots.listedEndpoints(list),
-                                                learnt))),
+                () -> store.write(captured.encodeWith(learnt)),
                 this::onWritten,
                 this::onFailure);
     }
--- a/src/main/java/loadbalancer/node/control/ControlBinding.java
+++ b/src/main/java/loadbalancer/node/control/ControlBinding.java
@@ -59,7 +59,7 @@
     private final ControlStatePersistence persistence;
     private final ControlEndpointListSource list;
     private final SharedControlState shared =
-            new SharedControlState(() -> runner().stateInForce(), this::adopt);
+            new SharedControlState(() -> this.runner.stateInForce(), this::adopt);
     private ResourceState restored = new ResourceState();
     private ConfigTarget balancer;
     private ControlSubscriptionRunner runner;
@@ -176,10 +176,6 @@
         registerListener.accept(runner);
     }
 
-    private ControlSubscriptionRunner runner() {
-        return runner;
-    }
-
     @Override
     public Optional<SharedState<?>> sharedState() {
         return Optional.of(shared);
--- a/src/main/java/loadbalancer/node/control/ControlSubscriptionRunner.java
+++ b/src/main/java/loadbalancer/node/control/ControlSubscriptionRunner.java
@@ -81,7 +81,7 @@
         return subscriber.isApplying() ? Optional.empty() : Optional.of(subscriber.state());
     }
 
-    /** Continues from a newer state; a running subscription starts anew from there. */
+    /** Replaces the state in force by a newer one; a subscriber restarts with that state. */
     void replaceState(ResourceState newer) {
         boolean isSubscribed = runner != null;
         if (isSubscribed) {
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -154,10 +154,9 @@
         upstreams.updateEndpoints(list);
         audit.updateEndpoints(list, type == EndpointListUpdateType.RESTORED);
         endpoints.apply(list);
-        ready |=
-                type == EndpointListUpdateType.RESTORED
-                        ? isRestoredListUsable && !endpoints.isEmpty()
-                        : type != EndpointListUpdateType.UNAVAILABLE;
+        boolean isTold =
+                type == EndpointListUpdateType.FULL || type == EndpointListUpdateType.DELTA;
+        ready |= isTold || isRestoredListUsable && !endpoints.isEmpty();
         policy.post(
                 (policy, now) ->
                         policy.updateEndpoints(
--- a/src/test/java/loadbalancer/faults/process/run/ControlScenarioTest.java
+++ b/src/test/java/loadbalancer/faults/process/run/ControlScenarioTest.java
@@ -136,7 +136,7 @@
         }
     }
 
-    /** Guards against a process that serves by an old configuration once it is told to stop. */
+    /** Guards against a process that gets no configuration updates after SIGTERM. */
     @Test
     void aProcessThatStopsAppliesWhatItsSuccessorIsTold() {
         Verdict verdict =
--- a/src/test/java/loadbalancer/node/ChildProgramFixture.java
+++ b/src/test/java/loadbalancer/node/ChildProgramFixture.java
@@ -4,9 +4,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -28,16 +26,6 @@
         }
     }
 
-    static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) free.getLocalSocketAddress();
-        }
-    }
-
-    static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     /**
      * Starts the program and waits until it serves.
      *
--- a/src/test/java/loadbalancer/node/ConfigCompletenessTest.java
+++ b/src/test/java/loadbalancer/node/ConfigCompletenessTest.java
@@ -93,10 +93,12 @@
         ObjectNode config = example();
         Key key = find(config, path);
         key.owner().putNull(key.name());
-        if (Set.of("known", "listen", "discovery", "seed").contains(path)) {
-            return; // null is an empty list, or no address or number
+        switch (path) {
+            case "known" -> assertDoesNotThrow(() -> parse(config), "an empty list");
+            case "listen", "discovery", "seed" ->
+                    assertThrows(InvalidInputException.class, () -> parse(config));
+            default -> assertVerdict(config, path);
         }
-        assertVerdict(config, path);
     }
 
     private static void assertVerdict(ObjectNode config, String path) {
@@ -139,13 +141,9 @@
     @Test
     void absentOptionalKeysHaveTheDocumentedDefaults() throws Exception {
         ObjectNode config = example();
-        for (String path : OPTIONAL) {
-            Key key = find(example(), path);
-            keys(config, "").stream()
-                    .filter(candidate -> candidate.path().equals(key.path()))
-                    .findFirst()
-                    .ifPresent(candidate -> candidate.owner().remove(candidate.name()));
-        }
+        keys(config, "").stream()
+                .filter(key -> OPTIONAL.contains(key.path()))
+                .forEach(key -> key.owner().remove(key.name()));
         Config parsed = parse(config);
         var settings = parsed.facts().settings();
         assertEquals(1_024, parsed.maxDescriptors());
--- a/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
+++ b/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
@@ -9,6 +9,9 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -62,6 +65,16 @@
         assertEquals("none", figures.violations().summary());
     }
 
+    static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) free.getLocalSocketAddress();
+        }
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     Server server(Script script) throws IOException {
         Server server = new Server(script);
         resources.add(server);
--- a/src/test/java/loadbalancer/node/ReplacementTest.java
+++ b/src/test/java/loadbalancer/node/ReplacementTest.java
@@ -8,10 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,15 +21,9 @@
 
 /** One process replaces another at the same address without an effect on clients. */
 class ReplacementTest extends LoopbackNodeFixture {
-    private static String freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + free.getLocalPort();
-        }
-    }
-
     @Test
     void closesClientConnectionsWithTheirNextResponseOnceASuccessorListens() throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         Server upstream = server(SERVE);
         start(
                 ready(upstream),
@@ -88,7 +79,7 @@
      */
     @Test
     void successorListensOnlyOnceItHasTheEndpointList() throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         Server upstream = server(SERVE);
         start(upstream);
         Path file = folder.resolve("config.json");
--- a/src/test/java/loadbalancer/node/ShutdownRaceTest.java
+++ b/src/test/java/loadbalancer/node/ShutdownRaceTest.java
@@ -8,9 +8,7 @@
 
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -59,12 +57,6 @@
         }
     }
 
-    private static String freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + free.getLocalPort();
-        }
-    }
-
     private void assertDone(Future<Void> shutdown) throws InterruptedException {
         assertTrue(
                 shutdown.await(Sockets.PATIENCE_S, TimeUnit.SECONDS),
@@ -365,7 +357,7 @@
     /** Until the successor listens, clients can connect to no other process. */
     @Test
     void ignoresSuccessorThatDoesNotListenYet() throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         start(server(SERVE));
         Client kept = idleClient();
         SiblingProcess successor = FileLockSibling.join(folder, listenAddress());
@@ -402,7 +394,7 @@
     /** The node checks for its successor periodically. */
     @Test
     void detectsDeathOfSuccessor() throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         start(server(SERVE));
         List<Client> kept = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
@@ -424,7 +416,7 @@
     /** The successor waits for the list only while the other process serves clients. */
     @Test
     void successorListensWithoutListOnceTheOtherStops() throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         start(list(0, true), server(HANG));
         Node successor =
                 Node.start(
--- a/src/test/java/loadbalancer/node/SiblingListTest.java
+++ b/src/test/java/loadbalancer/node/SiblingListTest.java
@@ -6,8 +6,6 @@
 
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import loadbalancer.faults.process.peer.Sockets;
 import loadbalancer.faults.process.peer.Sockets.Client;
 import loadbalancer.faults.process.peer.Sockets.Message;
@@ -25,10 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/**
- * What discovery has told to one of two processes of a balancer binds the other one as well, while
- * discovery is down for that one.
- */
+/** If only one of two sibling processes receives an update from discovery, both apply it. */
 class SiblingListTest extends LoopbackNodeFixture {
     private static final int REQUESTS = 40;
     private static final long SHARED_WITHIN_MILLIS = 2_000;
@@ -77,12 +73,6 @@
         assertEquals("none", successorMetrics.violations().summary());
     }
 
-    private static String freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + free.getLocalPort();
-        }
-    }
-
     private String bothReady(int version) {
         return list(version, true, entryOf(ready, "Ready"), entryOf(draining, "Ready"));
     }
@@ -95,18 +85,14 @@
         return entry("s-" + server.addr(), server.addr(), state);
     }
 
-    /** Starts the first process, which discovery tells that one of two endpoints drains. */
+    /** Starts the first process with two ready endpoints, and waits for its watch. */
     private ScriptedDiscovery startFirst() throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         ready = server(SERVE);
         draining = server(SERVE);
         ScriptedDiscovery discovery = new ScriptedDiscovery(bothReady(41));
         start(bothReady(41), server(discovery));
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
-        while (discovery.watches.isEmpty()) {
-            assertTrue(System.nanoTime() < end, "the process does not watch");
-            Thread.sleep(10);
-        }
+        await(() -> !discovery.watches.isEmpty(), "the process does not watch");
         return discovery;
     }
 
@@ -127,6 +113,21 @@
         return folder.resolve("config.json");
     }
 
+    /** Writes a configuration that names another discovery address, which never answers. */
+    private void moveDiscovery() throws IOException {
+        String text = Files.readString(config());
+        String moved = "\"discovery\":\"" + server(HANG).addr() + "\"";
+        Files.writeString(config(), text.replaceFirst("\"discovery\":\"[0-9.:]+\"", moved));
+    }
+
+    private static void await(BooleanSupplier condition, String failure) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, failure);
+            Thread.sleep(10);
+        }
+    }
+
     private Node startSuccessor() throws Exception {
         Node successor =
                 Node.start(config(), group.next(), successorMetrics, folder, StateStorage.NONE);
@@ -164,7 +165,7 @@
         successor.close();
     }
 
-    /** A process that is already listening learns what its predecessor is told later. */
+    /** An update that arrives after the hand-over has begun reaches the successor, too. */
     @Test
     void successorThatIsReadyKeepsToADrainThatItsPredecessorIsTold() throws Exception {
         ScriptedDiscovery discovery = startFirst();
@@ -210,11 +211,7 @@
         Node successor = startSuccessor();
         stop(running);
         discovery.answers.add(bothReady(41));
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
-        while (!discovery.answers.isEmpty()) {
-            assertTrue(System.nanoTime() < end, "the successor does not call discovery");
-            Thread.sleep(10);
-        }
+        await(discovery.answers::isEmpty, "the successor does not call discovery");
         assertEquals(0, requestsAtDrainingEndpoint(successor));
         successor.close();
     }
@@ -251,9 +248,7 @@
     void listFromAnotherDiscoveryAddressIsNotTaken() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
-        String text = Files.readString(config());
-        String moved = "\"discovery\":\"" + server(HANG).addr() + "\"";
-        Files.writeString(config(), text.replaceFirst("\"discovery\":\"[0-9.:]+\"", moved));
+        moveDiscovery();
         Node successor = startSuccessor();
         stop(running);
         assertTrue(requestsAtDrainingEndpoint(successor) > 0);
@@ -265,9 +260,7 @@
     void listFromBeforeDiscoveryMovedIsPassedOn() throws Exception {
         ScriptedDiscovery discovery = startFirst();
         tellDrain(discovery);
-        String text = Files.readString(config());
-        String moved = "\"discovery\":\"" + server(HANG).addr() + "\"";
-        Files.writeString(config(), text.replaceFirst("\"discovery\":\"[0-9.:]+\"", moved));
+        moveDiscovery();
         group.next().submit(() -> running.reload()).sync();
         Node successor = startSuccessor();
         stop(running);
--- a/src/test/java/loadbalancer/node/StartupTest.java
+++ b/src/test/java/loadbalancer/node/StartupTest.java
@@ -12,9 +12,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -70,15 +68,9 @@
         children.forEach(Process::destroyForcibly);
     }
 
-    private static String freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + free.getLocalPort();
-        }
-    }
-
     /** Writes the configuration of a balancer without starting it. */
     private Path config(Server discovery, Server... upstreams) throws Exception {
-        listen = freeAddress();
+        listen = text(freeAddress());
         return writeConfiguration(ready(upstreams), discovery);
     }
 
--- a/src/test/java/loadbalancer/node/control/SharedControlStateTest.java
+++ b/src/test/java/loadbalancer/node/control/SharedControlStateTest.java
@@ -95,7 +95,7 @@
         assertEquals(SECOND, next(opened).revision());
     }
 
-    /** Guards against a stopping process that hears of nothing once its successor has died. */
+    /** Guards against a stopping process without updates after the end of its successor. */
     @Test
     void processWhoseSuccessorHasEndedSubscribesAgainFromTheNewestState() throws Exception {
         startAndPublishFirst();
