Clients at a close: a play in which the test itself stood still is played again

That is the test's own precondition, not a client that was lost: it sends one client each 3 ms, for 400 ms of wall-clock time.

Nothing can leave that loop early (an exception in it ends the play with 0 clients or another message), so 9 clients mean a hold-up of the test.

Change: with too few clients the play is repeated, three in all, only if the run measured a lag of its own above 0.1 s (Verdict.isLate); without lag too few clients fail at once, as before, and after three late plays, too. A client that is lost in any of the plays fails the test. Each repetition is printed.

--- a/src/test/java/loadbalancer/faults/process/run/AcceptAtCloseTest.java
+++ b/src/test/java/loadbalancer/faults/process/run/AcceptAtCloseTest.java
@@ -33,6 +33,8 @@
 
     private static final long BETWEEN_CLIENTS_MS = 3;
     private static final long FAILS_AFTER_MS = 300;
+    private static final int ENOUGH_CLIENTS = 20;
+    private static final int MAX_PLAYS = 3;
 
     @BeforeAll
     static void quiet() {
@@ -66,51 +68,69 @@
                 () -> closeWhileAcceptFails(Errno.ECONNABORTED, 0.1));
     }
 
+    /**
+     * Plays until enough clients came within the time of the protocol. They are too few if the test
+     * itself stood still meanwhile; without that, too few are a failure. No client may be lost in
+     * any play.
+     */
     private static void closeWhileAcceptFails(Errno errno, double chance) {
+        for (int play = 1; ; play++) {
+            AtomicInteger asked = new AtomicInteger();
+            Verdict verdict = closeWhileAcceptFails(errno, chance, asked);
+            if (asked.get() > ENOUGH_CLIENTS) {
+                return;
+            }
+            String reason =
+                    "only " + asked + " clients, " + errno + ", isLate: " + verdict.isLate();
+            assertTrue(verdict.isLate() && play < MAX_PLAYS, reason);
+            System.out.println("accept at close is played again: " + reason);
+        }
+    }
+
+    private static Verdict closeWhileAcceptFails(Errno errno, double chance, AtomicInteger asked) {
         AtomicInteger lost = new AtomicInteger();
-        AtomicInteger asked = new AtomicInteger();
-        SystemFaults.playAlone(
-                "accept-" + errno,
-                2,
-                5,
-                scene -> {
-                    BalancerInstance balancer = scene.instances().get(0);
-                    SyscallFaultPage faults = SystemFaults.of(balancer);
-                    Child child = balancer.current();
-                    ExecutorService threads = Executors.newCachedThreadPool();
-                    List<CompletableFuture<Void>> clients = new ArrayList<>();
-                    child.mayEnd();
-                    child.signal("TERM");
-                    long toldAt = RealTime.micros();
-                    for (int i = 0; RealTime.micros() < toldAt + CLIENTS_COME_MS * 1_000; i++) {
-                        if (RealTime.micros() >= toldAt + FAILS_AFTER_MS * 1_000) {
-                            faults.fail(
-                                    FaultyCall.ACCEPT,
-                                    errno,
-                                    chance,
-                                    SyscallFaultPage.WITHOUT_LIMIT);
-                        }
-                        String id = "extra-" + i;
-                        clients.add(
-                                CompletableFuture.runAsync(
-                                        () -> {
-                                            asked.incrementAndGet();
-                                            if (!isAnswered(scene.topology.listen(0), id)) {
-                                                lost.incrementAndGet();
-                                            }
-                                        },
-                                        threads));
-                        BalancerInstance.pause(BETWEEN_CLIENTS_MS);
-                    }
-                    SystemFaults.awaitSince(toldAt, FAILS_AFTER_MS + 500);
-                    faults.heal(FaultyCall.ACCEPT);
-                    clients.forEach(CompletableFuture::join);
-                    threads.shutdown();
-                    assertEquals(0, child.awaitEnd());
-                    balancer.start();
-                });
-        assertTrue(asked.get() > 20, "only " + asked + " clients");
+        Verdict verdict =
+                SystemFaults.playAlone(
+                        "accept-" + errno,
+                        2,
+                        5,
+                        scene -> closeWhileAcceptFails(scene, errno, chance, asked, lost));
         assertEquals(0, lost.get(), () -> "of " + asked + " clients");
+        return verdict;
+    }
+
+    private static void closeWhileAcceptFails(
+            Scene scene, Errno errno, double chance, AtomicInteger asked, AtomicInteger lost) {
+        BalancerInstance balancer = scene.instances().get(0);
+        SyscallFaultPage faults = SystemFaults.of(balancer);
+        Child child = balancer.current();
+        ExecutorService threads = Executors.newCachedThreadPool();
+        List<CompletableFuture<Void>> clients = new ArrayList<>();
+        child.mayEnd();
+        child.signal("TERM");
+        long toldAt = RealTime.micros();
+        for (int i = 0; RealTime.micros() < toldAt + CLIENTS_COME_MS * 1_000; i++) {
+            if (RealTime.micros() >= toldAt + FAILS_AFTER_MS * 1_000) {
+                faults.fail(FaultyCall.ACCEPT, errno, chance, SyscallFaultPage.WITHOUT_LIMIT);
+            }
+            String id = "extra-" + i;
+            clients.add(
+                    CompletableFuture.runAsync(
+                            () -> {
+                                asked.incrementAndGet();
+                                if (!isAnswered(scene.topology.listen(0), id)) {
+                                    lost.incrementAndGet();
+                                }
+                            },
+                            threads));
+            BalancerInstance.pause(BETWEEN_CLIENTS_MS);
+        }
+        SystemFaults.awaitSince(toldAt, FAILS_AFTER_MS + 500);
+        faults.heal(FaultyCall.ACCEPT);
+        clients.forEach(CompletableFuture::join);
+        threads.shutdown();
+        assertEquals(0, child.awaitEnd());
+        balancer.start();
     }
 
     /**
