A stop goes on when a step that it does not need has failed

A process whose control subscriber threw when it was told to end its subscription never came to its drain: SIGTERM ended nothing, and SIGKILL found the clients' requests.

Cause: the steps of a stop ran one after another, and an exception in any of them kept the rest from running, the drain included. Each step is now logged if it fails, and the next one runs; the same for what is reported at the end. In the poll of the sibling, what the shutdown needs comes before leadership and exchange.

--- a/src/main/java/loadbalancer/node/ListenerLifecycle.java
+++ b/src/main/java/loadbalancer/node/ListenerLifecycle.java
@@ -139,8 +139,13 @@
     private void stopServing(long requestedAtNanos) {
         phase = Phase.STOPPING;
         stopRequestedAtNanos = requestedAtNanos;
-        siblingMonitor.notifyLeadership(true);
-        persistence.stopping();
+        runStopStep("ending the lead of this process", () -> siblingMonitor.notifyLeadership(true));
+        runStopStep("storing the learnt state", persistence::stopping);
+        runStopStep("leaving new connections to a successor", this::stopListeningBesideSuccessor);
+        drain();
+    }
+
+    private void stopListeningBesideSuccessor() {
         sibling.setListening(false);
         server.setSuccessorListening(sibling.isListening());
         LOG.log(
@@ -148,7 +153,15 @@
                 sibling.isListening()
                         ? "stopping: a successor process takes new connections"
                         : "stopping: no successor process listens");
-        drain();
+    }
+
+    /** Runs a step on which the shutdown does not depend: if it fails, the stop goes on. */
+    private static void runStopStep(String name, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "a step of the stop failed; going on: " + name, e);
+        }
     }
 
     /** Applies the times of changed settings to a shutdown in progress. */
@@ -174,11 +187,15 @@
 
     private void onDrained() {
         if (!stopped.isDone()) {
-            dispatcher.reportUnanswered();
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "invariant violations since the start: " + metrics.violations().summary());
+            runStopStep("reporting unanswered requests", this::reportEnd);
             stopped.trySuccess(null);
         }
     }
+
+    private void reportEnd() {
+        dispatcher.reportUnanswered();
+        LOG.log(
+                System.Logger.Level.INFO,
+                "invariant violations since the start: " + metrics.violations().summary());
+    }
 }
--- a/src/main/java/loadbalancer/node/SiblingMonitor.java
+++ b/src/main/java/loadbalancer/node/SiblingMonitor.java
@@ -44,8 +44,6 @@
     void poll(boolean isStopping) {
         boolean isRunning = sibling.isRunning();
         startedSecond &= isRunning;
-        exchanges.forEach(exchange -> exchange.poll(isRunning, startedSecond));
-        notifyLeadership(isStopping);
         if (isStopping) {
             components.server().setSuccessorListening(sibling.isListening());
         }
@@ -54,6 +52,9 @@
             applyConnectionLimits();
             components.dispatcher().siblingProcessChanged(isRunning);
         }
+        // Last, because the shutdown must not depend on them if they fail.
+        notifyLeadership(isStopping);
+        exchanges.forEach(exchange -> exchange.poll(isRunning, startedSecond));
     }
 
     /** Notifies the overlay whether this process represents the balancer. */
