A process with lists from control subscribes if the one beside it shares nothing

A second process without a list waited for ever if the first one shares nothing (an older program, a TMPDIR of no use), and the first one waited for its yes. It now subscribes 2 s after its start until it has a list; control ends the older of two subscriptions of one name, and the first one reconnects.

A state of the other process that came while an update was partly applied was dropped until its next change. It now waits for the end of the update.

--- a/src/main/java/loadbalancer/node/control/ControlBinding.java
+++ b/src/main/java/loadbalancer/node/control/ControlBinding.java
@@ -61,6 +61,13 @@
     private final SharedControlState shared =
             new SharedControlState(() -> this.runner.stateInForce(), this::adopt);
     private ResourceState restored = new ResourceState();
+
+    /** Revision of the configuration in force; {@link Revision#NONE} before the first. */
+    private Revision revisionInForce = Revision.NONE;
+
+    /** State of the sibling process that waits for an update in progress; null for none. */
+    private ResourceState postponed;
+
     private ConfigTarget balancer;
     private ControlSubscriptionRunner runner;
 
@@ -172,10 +179,15 @@
                                         transport.random()),
                         restored,
                         observer,
-                        list);
+                        list,
+                        this::isMissingList);
         registerListener.accept(runner);
     }
 
+    private boolean isMissingList() {
+        return configuration.listsUpstreams() && configuration.list().entries().isEmpty();
+    }
+
     @Override
     public Optional<SharedState<?>> sharedState() {
         return Optional.of(shared);
@@ -183,11 +195,16 @@
 
     /**
      * Puts a state in force that the sibling process has shared, unless it is not newer than this
-     * process's. The sibling has checked it as an update and stores it.
+     * process's. The sibling has checked it as an update and stores it. While an update is partly
+     * applied, the state waits for the next call of {@link #setLeading}.
      */
     private void adopt(ResourceState other) {
-        Optional<ResourceState> current = runner.stateInForce();
-        if (current.isEmpty() || !other.revision().isAfter(current.get().revision())) {
+        postponed = null;
+        if (!other.revision().isAfter(revisionInForce)) {
+            return;
+        }
+        if (runner.stateInForce().isEmpty()) {
+            postponed = other;
             return;
         }
         LoadedSettings before = configuration.settings();
@@ -216,6 +233,9 @@
     @Override
     public void setLeading(boolean leads) {
         runner.setLeading(leads);
+        if (postponed != null) {
+            adopt(postponed);
+        }
     }
 
     private SubscriberSettings subscriberSettings() {
@@ -231,6 +251,7 @@
     }
 
     private void recordRevision(Revision revision) {
+        revisionInForce = revision;
         metrics.revisionApplied(revision.epoch(), revision.number());
     }
 
--- a/src/test/java/loadbalancer/node/control/ControlBindingFixture.java
+++ b/src/test/java/loadbalancer/node/control/ControlBindingFixture.java
@@ -77,6 +77,8 @@
 
     volatile int ticksAtAcknowledgement;
 
+    volatile int closedConnections;
+
     ControlBinding binding;
 
     ResourceState published = new ResourceState();
@@ -96,7 +98,9 @@
         public void pauseReading(boolean paused) {}
 
         @Override
-        public void close() {}
+        public void close() {
+            closedConnections++; // on the event loop only
+        }
 
         @Override
         public void acknowledge(int server, Acknowledgement acknowledgement) {
