Free addresses of the node's tests are below the ports that the kernel assigns

Trace: the test took its address by binding port 0 and closing it, and started two servers on port 0 before the balancer bound that address; the kernel may give one of them the port that was just freed. Nothing else was at that address.

Change: addresses come from 20,000 to 31,999, below the kernel's range for port 0 and for clients (32,768 to 60,999 here); no call returns the same one twice, and a port in use is passed over. What the tests check is as before. 51 tests that use such addresses are green.

--- a/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
+++ b/src/test/java/loadbalancer/node/LoopbackNodeFixture.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -17,7 +18,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import loadbalancer.faults.process.peer.Sockets;
 import loadbalancer.faults.process.peer.Sockets.Client;
 import loadbalancer.faults.process.peer.Sockets.Message;
@@ -38,6 +41,12 @@
     static final Script SERVE = (m, s) -> Sockets.answer(s, "200 OK", "", "done");
     static final Script HANG = (m, s) -> {};
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+
+    /** Starts anywhere, so that two runs of the tests side by side rarely meet. */
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger(new Random().nextInt(PORTS));
+
     @TempDir Path folder;
     private final List<AutoCloseable> resources = new ArrayList<>();
     EventLoopGroup group;
@@ -65,10 +74,21 @@
         assertEquals("none", figures.violations().summary());
     }
 
+    /**
+     * Returns a loopback address that is free. Its port is below those that the kernel assigns, so
+     * that no socket of this test gets it before the address is used; no two calls return the same.
+     */
     static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) free.getLocalSocketAddress();
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        for (int i = 0; i < PORTS; i++) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket free = new ServerSocket(port, 1, loopback)) {
+                return (InetSocketAddress) free.getLocalSocketAddress();
+            } catch (BindException e) {
+                continue; // used by another process
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT);
     }
 
     static String text(InetSocketAddress address) {
